--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := $(wildcard libs/*)
+CASE ?= all
+
+.PHONY: setup demo test lint format bench slopes
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: requirements.txt $(wildcard libs/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(addprefix -e ./,$(LIBS))
+	touch $@
+
+demo: setup
+	$(BIN)/python tools/demo.py
+
+test: setup lint
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy libs tools bench
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: setup
+	$(BIN)/python bench/run.py --case=$(CASE)
+
+slopes: setup
+	$(BIN)/python bench/slopes.py
--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,7 @@
+"""Runs every test on gevent's cooperative standard library."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
--- /dev/null
+++ b/libs/claims/sapphirehoist/claims/__init__.py
@@ -0,0 +1,30 @@
+"""At most once: durable claims before the first byte of a call."""
+
+from __future__ import annotations
+
+from sapphirehoist.claims.batch import TableBatch
+from sapphirehoist.claims.claim import (
+    Claim,
+    ClaimKey,
+    ClaimReused,
+    ClaimState,
+    ClaimTaken,
+    ClaimUnavailable,
+    StoredClaim,
+)
+from sapphirehoist.claims.registry import ClaimRegistry, ClaimTimes
+from sapphirehoist.claims.sweeper import ClaimSweeper
+
+__all__ = [
+    "Claim",
+    "ClaimKey",
+    "ClaimRegistry",
+    "ClaimReused",
+    "ClaimState",
+    "ClaimSweeper",
+    "ClaimTaken",
+    "ClaimTimes",
+    "ClaimUnavailable",
+    "StoredClaim",
+    "TableBatch",
+]
--- /dev/null
+++ b/libs/claims/sapphirehoist/claims/registry.py
@@ -0,0 +1,329 @@
+"""Wins claims, waits for those of others and stores ends.
+
+A claim is a conditional insert that names a unique attempt. Where the answer is lost,
+the same insert is sent again: it either commits, or conflicts with a row that names
+this attempt or another one, and each of these settles whose claim it is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+
+from sapphirehoist.claims.batch import RowConflict, TableBatch
+from sapphirehoist.claims.claim import (
+    Claim,
+    ClaimKey,
+    ClaimReused,
+    ClaimState,
+    ClaimTaken,
+    ClaimUnavailable,
+    StoredClaim,
+)
+from sapphirehoist.clock import Clock
+from sapphirehoist.messages import decode_json, encode_json
+from sapphirehoist.observability import Metrics
+from sapphirehoist.outcomes import Done, Failed, NotRun, Outcome, Reason, Unknown
+from sapphirehoist.platform import (
+    Committed,
+    Condition,
+    Rows,
+    TableService,
+    Unavailable,
+    Undecided,
+    Write,
+)
+
+AGE_PREFIX = "claim-age/"
+_MINUTE_MS = 60_000
+_MAX_STORED_BODY_BYTES = 65_536
+_POLL_FIRST_S = 0.05
+_POLL_LONGEST_S = 1.0
+_FINISH_TRIES = 40
+_FINISH_PAUSE_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimTimes:
+    """Bounds on claims, in seconds.
+
+    Attributes
+    ----------
+    settle_s : float
+        How long a lost answer to a claim is pursued.
+    send_within_s : float
+        A call may leave only this long after its claim was sent.
+    grace_s : float
+        How long after its deadline a claim may still get its end stored.
+    """
+
+    settle_s: float = 1.5
+    send_within_s: float = 3.0
+    grace_s: float = 2.0
+
+
+def age_key(row_key: str, claimed_at_ms: int) -> str:
+    """Return the key of the row by which the sweeper finds an old claim."""
+    return f"{AGE_PREFIX}{claimed_at_ms // _MINUTE_MS}/{row_key}"
+
+
+class ClaimRegistry:
+    """Claims in the platform's table.
+
+    Parameters
+    ----------
+    vm : str
+        This VM.
+    table : TableService
+        The platform's table.
+    clock : Clock
+        Wall time for rows, monotonic time for bounds.
+    new_attempt_id : callable
+        Returns a unique id.
+    metrics : Metrics
+        Takes the counters ``claims_total`` by outcome.
+    times : ClaimTimes
+        Bounds.
+    """
+
+    __slots__ = (
+        "_batch",
+        "_clock",
+        "_finishing",
+        "_metrics",
+        "_new_attempt_id",
+        "_table",
+        "_times",
+        "_vm",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        table: TableService,
+        clock: Clock,
+        new_attempt_id: Callable[[], str],
+        metrics: Metrics,
+        times: ClaimTimes | None = None,
+    ) -> None:
+        self._vm = vm
+        self._table = table
+        self._clock = clock
+        self._new_attempt_id = new_attempt_id
+        self._metrics = metrics
+        self._times = times or ClaimTimes()
+        self._batch = TableBatch(table, metrics)
+        self._finishing: set[gevent.Greenlet] = set()
+
+    def claim(
+        self, key: ClaimKey, body_sha256: str, deadline_s: float
+    ) -> Claim | ClaimTaken | ClaimReused | ClaimUnavailable:
+        """Claim `key` for a new attempt.
+
+        Parameters
+        ----------
+        key : ClaimKey
+            The team and its idempotency key.
+        body_sha256 : str
+            Hash of what is to be called.
+        deadline_s : float
+            Monotonic time at which the request is given up.
+
+        Returns
+        -------
+        Claim, ClaimTaken, ClaimReused or ClaimUnavailable
+            Only `Claim` allows the call.
+        """
+        outcome = self._claim(key, body_sha256, deadline_s)
+        self._metrics.count("claims_total", outcome=type(outcome).__name__)
+        return outcome
+
+    def may_send(self, claim: Claim, deadline_s: float) -> bool:
+        """Return whether the call may leave now; checked right before sending.
+
+        A process that was paused after it won the claim finds the bound exceeded.
+        """
+        now = self._clock.monotonic()
+        return now < min(deadline_s, claim.won_at + self._times.send_within_s)
+
+    def release(self, claim: Claim) -> None:
+        """Give up a claim whose call never left, so that the key can be used again."""
+        self._spawn_finish(claim, None)
+
+    def finish(self, claim: Claim, outcome: Outcome) -> None:
+        """Store the end of the call, in a task of its own."""
+        if isinstance(outcome, NotRun):
+            self.release(claim)
+            return
+        self._spawn_finish(claim, _ended(claim.stored, outcome))
+
+    def wait_for_end(
+        self, key: ClaimKey, stored: StoredClaim, deadline_s: float
+    ) -> Outcome:
+        """Wait for the end of another attempt's call.
+
+        Parameters
+        ----------
+        key : ClaimKey
+            The key that both requests name.
+        stored : StoredClaim
+            The other attempt's row.
+        deadline_s : float
+            Monotonic time at which this request is given up.
+        """
+        pause_s = _POLL_FIRST_S
+        while stored.state is ClaimState.CLAIMED:
+            remaining_s = deadline_s - self._clock.monotonic()
+            if remaining_s <= 0 or self._is_abandoned(stored):
+                detail = f"attempt {stored.attempt_id} on {stored.vm} has no known end"
+                return Unknown(Reason.IN_PROGRESS, detail)
+            self._clock.sleep(min(pause_s, remaining_s))
+            pause_s = min(pause_s * 2, _POLL_LONGEST_S)
+            rows = self._table.read([key.row_key])
+            if isinstance(rows, Unavailable):
+                continue
+            current = _decode_row(rows)
+            if current is None:
+                return _released()
+            stored = current
+        return _stored_end(stored)
+
+    def flush(self, timeout_s: float) -> bool:
+        """Wait until every end is stored; return whether `timeout_s` sufficed."""
+        gevent.joinall(list(self._finishing), timeout=timeout_s)
+        return not self._finishing
+
+    def _claim(
+        self, key: ClaimKey, body_sha256: str, deadline_s: float
+    ) -> Claim | ClaimTaken | ClaimReused | ClaimUnavailable:
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        remaining_s = deadline_s - self._clock.monotonic()
+        stored = StoredClaim(
+            self._new_attempt_id(),
+            body_sha256,
+            self._vm,
+            now_ms,
+            now_ms + int(remaining_s * 1000),
+        )
+        writes = (
+            Write(key.row_key, encode_json(stored)),
+            Write(age_key(key.row_key, now_ms), b""),
+        )
+        started = self._clock.monotonic()
+        give_up = min(deadline_s, started + self._times.settle_s)
+        is_undecided = False
+        while True:
+            sent_at = self._clock.monotonic()
+            outcome = self._batch.write(Condition(key.row_key, 0), *writes)
+            if isinstance(outcome, Committed):
+                return Claim(key, stored, outcome.revision, sent_at)
+            if isinstance(outcome, RowConflict):
+                return _judge_conflict(key, stored, outcome, started)
+            is_undecided = is_undecided or isinstance(outcome, Undecided)
+            if not is_undecided or self._clock.monotonic() >= give_up:
+                break
+            self._clock.sleep(_POLL_FIRST_S)
+        if is_undecided:
+            # The insert may still land; its row would block the key for no call.
+            self._spawn_finish(Claim(key, stored, 0, started), None)
+        return ClaimUnavailable(outcome.detail)
+
+    def _is_abandoned(self, stored: StoredClaim) -> bool:
+        now_ms = int(self._clock.now().timestamp() * 1000)
+        return now_ms > stored.deadline_ms + int(self._times.grace_s * 1000)
+
+    def _spawn_finish(self, claim: Claim, end: StoredClaim | None) -> None:
+        task = gevent.spawn(self._store_end, claim, end)
+        self._finishing.add(task)
+        task.link(self._finishing.discard)
+
+    def _store_end(self, claim: Claim, end: StoredClaim | None) -> None:
+        """Replace the claim's row by its end, or delete it where `end` is None."""
+        revision = claim.revision
+        row_key = claim.key.row_key
+        writes = [Write(row_key, None if end is None else encode_json(end))]
+        if end is None:
+            writes.append(Write(age_key(row_key, claim.stored.claimed_at_ms), None))
+        for _ in range(_FINISH_TRIES):
+            if revision:
+                outcome = self._batch.write(Condition(row_key, revision), *writes)
+                if isinstance(outcome, Committed | RowConflict):
+                    return
+            else:
+                revision = self._find_own_revision(claim)
+                if revision:
+                    continue
+            self._clock.sleep(_FINISH_PAUSE_S)
+        self._metrics.count("claims_without_end_total")
+
+    def _find_own_revision(self, claim: Claim) -> int:
+        rows = self._table.read([claim.key.row_key])
+        if isinstance(rows, Unavailable) or not rows.rows:
+            return 0
+        stored = decode_json(rows.rows[0].value, StoredClaim)
+        is_own = (
+            isinstance(stored, StoredClaim)
+            and stored.attempt_id == claim.stored.attempt_id
+        )
+        return rows.rows[0].revision if is_own else 0
+
+
+def _judge_conflict(
+    key: ClaimKey, mine: StoredClaim, conflict: RowConflict, started: float
+) -> Claim | ClaimTaken | ClaimReused | ClaimUnavailable:
+    stored = decode_json(conflict.row.value, StoredClaim)
+    if not isinstance(stored, StoredClaim):
+        return ClaimUnavailable(f"{key.row_key}: {stored.detail}")
+    if stored.attempt_id == mine.attempt_id:
+        return Claim(key, stored, conflict.row.revision, started)
+    if stored.body_sha256 != mine.body_sha256:
+        return ClaimReused()
+    return ClaimTaken(stored)
+
+
+def _decode_row(rows: Rows) -> StoredClaim | None:
+    if not rows.rows:
+        return None
+    stored = decode_json(rows.rows[0].value, StoredClaim)
+    return stored if isinstance(stored, StoredClaim) else None
+
+
+def _released() -> NotRun:
+    detail = "the attempt that held the key did not run; the key can be used again"
+    return NotRun(Reason.ENDPOINT_FAILED, detail, retry_after_s=0.1)
+
+
+def _ended(stored: StoredClaim, outcome: Done | Failed | Unknown) -> StoredClaim:
+    """Return the row that stores `outcome`."""
+    state, reason, detail, body = ClaimState.DONE, None, "", b""
+    if isinstance(outcome, Done):
+        body = outcome.body
+        if len(body) > _MAX_STORED_BODY_BYTES:
+            state, reason, body = ClaimState.UNKNOWN, Reason.IN_PROGRESS, b""
+            detail = f"done; its answer of {len(outcome.body)} bytes is not stored"
+    else:
+        is_failed = isinstance(outcome, Failed)
+        state = ClaimState.FAILED if is_failed else ClaimState.UNKNOWN
+        reason, detail = outcome.reason, outcome.detail
+    return StoredClaim(
+        stored.attempt_id,
+        stored.body_sha256,
+        stored.vm,
+        stored.claimed_at_ms,
+        stored.deadline_ms,
+        state,
+        reason,
+        detail,
+        body,
+    )
+
+
+def _stored_end(stored: StoredClaim) -> Outcome:
+    if stored.state is ClaimState.DONE:
+        return Done(stored.body, replayed=True)
+    reason = stored.reason or Reason.IN_PROGRESS
+    if stored.state is ClaimState.FAILED:
+        return Failed(reason, stored.detail)
+    return Unknown(reason, stored.detail)
--- /dev/null
+++ b/libs/claims/sapphirehoist/claims/sweeper.py
@@ -0,0 +1,82 @@
+"""Deletes claims that no caller may retry any more."""
+
+from __future__ import annotations
+
+from sapphirehoist.claims.claim import StoredClaim
+from sapphirehoist.claims.registry import AGE_PREFIX, age_key
+from sapphirehoist.clock import Clock
+from sapphirehoist.messages import decode_json
+from sapphirehoist.observability import Metrics
+from sapphirehoist.platform import (
+    Committed,
+    Condition,
+    Row,
+    TableService,
+    Unavailable,
+    Write,
+)
+
+CLAIM_AGE_MINUTES = 24 * 60
+_CATCH_UP_MINUTES = 2 * 60
+_ROWS_PER_TRANSACTION = 100
+
+
+class ClaimSweeper:
+    """Sweeps claims older than `CLAIM_AGE_MINUTES`; run by the holder of a lease.
+
+    Parameters
+    ----------
+    table : TableService
+        The platform's table.
+    clock : Clock
+        Wall time.
+    metrics : Metrics
+        Takes ``claims_swept_total``.
+    """
+
+    __slots__ = ("_clock", "_metrics", "_next_minute", "_table")
+
+    def __init__(self, table: TableService, clock: Clock, metrics: Metrics) -> None:
+        self._table = table
+        self._clock = clock
+        self._metrics = metrics
+        self._next_minute = self._last_minute() - _CATCH_UP_MINUTES
+
+    def sweep(self) -> int:
+        """Delete old claims of the next minute that has any; return how many."""
+        while self._next_minute < self._last_minute():
+            rows = self._table.read_prefix(f"{AGE_PREFIX}{self._next_minute}/")
+            if isinstance(rows, Unavailable):
+                return 0
+            if rows.rows:
+                return self._delete(rows.rows[:_ROWS_PER_TRANSACTION])
+            self._next_minute += 1
+        return 0
+
+    def _last_minute(self) -> int:
+        return int(self._clock.now().timestamp()) // 60 - CLAIM_AGE_MINUTES
+
+    def _delete(self, age_rows: list[Row]) -> int:
+        """Delete the claims of `age_rows`, but none that was claimed again since."""
+        by_claim = {_claim_key(row): row for row in age_rows}
+        claims = self._table.read(list(by_claim))
+        if isinstance(claims, Unavailable):
+            return 0
+        conditions = []
+        writes = [Write(row.key, None) for row in age_rows]
+        for row in claims.rows:
+            stored = decode_json(row.value, StoredClaim)
+            if not isinstance(stored, StoredClaim):
+                continue
+            if age_key(row.key, stored.claimed_at_ms) == by_claim[row.key].key:
+                conditions.append(Condition(row.key, row.revision))
+                writes.append(Write(row.key, None))
+        outcome = self._table.transact(conditions, writes)
+        if not isinstance(outcome, Committed):
+            return 0
+        self._metrics.count("claims_swept_total", len(conditions))
+        return len(conditions)
+
+
+def _claim_key(row: Row) -> str:
+    return row.key.removeprefix(AGE_PREFIX).split("/", 1)[1]
--- /dev/null
+++ b/libs/clock/sapphirehoist/clock/system.py
@@ -0,0 +1,40 @@
+"""The operating system's clocks."""
+
+from __future__ import annotations
+
+import time
+from datetime import UTC, datetime
+
+import gevent
+
+from sapphirehoist.clock.interface import Clock, Waitable
+
+
+class SystemClock(Clock):
+    """Clock that reads the operating system and sleeps in gevent.
+
+    Examples
+    --------
+    >>> clock = SystemClock()
+    >>> clock.now().tzinfo is not None
+    True
+    """
+
+    __slots__ = ()
+
+    def now(self) -> datetime:
+        """Return the wall time as an aware UTC datetime."""
+        return datetime.now(UTC)
+
+    def monotonic(self) -> float:
+        """Return seconds of the monotonic clock."""
+        return time.monotonic()
+
+    def sleep(self, seconds: float) -> None:
+        """Suspend the calling greenlet for `seconds`."""
+        gevent.sleep(seconds)
+
+    def wait(self, waitable: Waitable, seconds: float) -> bool:
+        """Suspend until `waitable` is ready; return False after `seconds`."""
+        waitable.wait(max(seconds, 0.0))
+        return waitable.ready()
--- /dev/null
+++ b/libs/configuration/sapphirehoist/configuration/__init__.py
@@ -0,0 +1,54 @@
+"""Versioned configuration: committed in the table, spread among members."""
+
+from __future__ import annotations
+
+from sapphirehoist.configuration.acceptance import Acceptance, AcceptanceTracker
+from sapphirehoist.configuration.catalog import Catalog
+from sapphirehoist.configuration.change import (
+    Change,
+    ChangeRequest,
+    ObjectName,
+    Snapshot,
+)
+from sapphirehoist.configuration.model import (
+    ClassOfWork,
+    ConfigObject,
+    Endpoint,
+    EndpointKind,
+    Pipeline,
+    Stage,
+    Team,
+)
+from sapphirehoist.configuration.replica import ConfigReplica
+from sapphirehoist.configuration.spread import ConfigSpread
+from sapphirehoist.configuration.store import (
+    ChangeCommitted,
+    ChangeConflict,
+    ChangeInvalid,
+    ChangeUndecided,
+    ConfigStore,
+)
+
+__all__ = [
+    "Acceptance",
+    "AcceptanceTracker",
+    "Catalog",
+    "Change",
+    "ChangeCommitted",
+    "ChangeConflict",
+    "ChangeInvalid",
+    "ChangeRequest",
+    "ChangeUndecided",
+    "ClassOfWork",
+    "ConfigObject",
+    "ConfigReplica",
+    "ConfigSpread",
+    "ConfigStore",
+    "Endpoint",
+    "EndpointKind",
+    "ObjectName",
+    "Pipeline",
+    "Snapshot",
+    "Stage",
+    "Team",
+]
--- /dev/null
+++ b/libs/configuration/sapphirehoist/configuration/spread.py
@@ -0,0 +1,313 @@
+"""Spreads committed versions among members and collects reports.
+
+A commit floods a short announcement; each node pulls the changes that it lacks from
+the member that told it. Versions ride on heartbeats as a digest, and a slow read of
+the table is the backstop.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+
+from sapphirehoist.clock import Clock
+from sapphirehoist.configuration.acceptance import Acceptance, AcceptanceTracker
+from sapphirehoist.configuration.messages import (
+    ChangesReply,
+    ChangesRequest,
+    ConfigAnnounced,
+    InForceReport,
+    InForceRequest,
+    VouchReply,
+    VouchRequest,
+)
+from sapphirehoist.configuration.replica import ConfigReplica
+from sapphirehoist.configuration.store import ConfigStore
+from sapphirehoist.membership import Digest, Fleet, Member, Roster
+from sapphirehoist.peers import NoReply, PeerBus
+from sapphirehoist.platform import Unavailable
+
+_PULL_TIMEOUT_S = 2.0
+_REPORT_TIMEOUT_S = 1.0
+_POLL_PAUSE_S = 0.5
+_BACKSTOP_INTERVAL_S = 10.0
+_VOUCH_SERVE_S = 4.0
+_VOUCH_KEEP_S = 10.0
+
+
+@dataclass(slots=True)
+class _Vouched:
+    member: Member
+    version: int
+    refreshed_at: float
+
+
+@dataclass(slots=True)
+class _Voucher:
+    address: str
+    confirmed_at: float
+
+
+class ConfigSpread:
+    """Keeps this node's replica at the newest version and answers for it.
+
+    Parameters
+    ----------
+    replica : ConfigReplica
+        What is in force here.
+    store : ConfigStore
+        The table's copy.
+    fleet : Fleet
+        The other members.
+    roster : Roster
+        Whose reports acceptance waits for.
+    bus : PeerBus
+        Messages between daemons.
+    clock : Clock
+        Paces polls and the backstop.
+    """
+
+    __slots__ = (
+        "_bus",
+        "_clock",
+        "_fleet",
+        "_origins",
+        "_replica",
+        "_roster",
+        "_store",
+        "_tracker",
+        "_vouched",
+        "_voucher",
+    )
+
+    def __init__(
+        self,
+        replica: ConfigReplica,
+        store: ConfigStore,
+        fleet: Fleet,
+        roster: Roster,
+        bus: PeerBus,
+        clock: Clock,
+    ) -> None:
+        self._replica = replica
+        self._store = store
+        self._fleet = fleet
+        self._roster = roster
+        self._bus = bus
+        self._clock = clock
+        self._tracker = AcceptanceTracker()
+        self._vouched: dict[str, _Vouched] = {}
+        self._voucher: _Voucher | None = None
+        self._origins: dict[int, str] = {}
+        fleet.add_digest(Digest("config", self._read_version, self._reconcile))
+        bus.subscribe(ConfigAnnounced, self._handle_announced)
+        bus.subscribe(ChangesRequest, self._handle_changes_request)
+        bus.subscribe(InForceReport, self._handle_report)
+        bus.subscribe(InForceRequest, self._handle_report_request)
+        bus.subscribe(VouchRequest, self._handle_vouch)
+
+    def announce(self) -> None:
+        """Tell every member that this node holds a newly committed version."""
+        me = self._fleet.member.peer_address
+        self._fleet.publish(ConfigAnnounced(self._replica.version, me, me))
+
+    def wait_accepted(
+        self,
+        version: int,
+        timeout_s: float,
+        on_progress: Callable[[Acceptance], None] | None = None,
+    ) -> Acceptance | Unavailable:
+        """Wait until every member of the roster reports `version` in force.
+
+        Returns
+        -------
+        Acceptance or Unavailable
+            The last known state; members may still be missing after `timeout_s`.
+            `Unavailable` where the roster could not be read.
+        """
+        deadline = self._clock.monotonic() + timeout_s
+        while True:
+            roster = self._roster.read()
+            if not isinstance(roster, Unavailable):
+                state = self._check(version, roster)
+                if on_progress is not None:
+                    on_progress(state)
+                if state.is_accepted:
+                    return state
+                self._poll_missing(state, roster)
+                state = self._check(version, roster)
+                if state.is_accepted:
+                    continue  # the roster is read again before acceptance is told
+            if self._clock.monotonic() >= deadline:
+                return roster if isinstance(roster, Unavailable) else state
+            self._clock.sleep(_POLL_PAUSE_S)
+
+    def run_backstop(self) -> None:
+        """Read the head of the table now and then, until killed."""
+        while True:
+            self._clock.sleep(_BACKSTOP_INTERVAL_S)
+            self.catch_up_from_table()
+
+    def catch_up_from_table(self) -> bool:
+        """Put in force what the table has; return whether the table answered."""
+        head = self._store.read_head()
+        if isinstance(head, Unavailable):
+            return False
+        if head <= self._replica.version:
+            return True
+        changes = self._store.read_changes(self._replica.version, head)
+        if not isinstance(changes, Unavailable):
+            self._apply(ChangesReply(changes))
+        if self._replica.version < head:
+            loaded = self._store.load()
+            if isinstance(loaded, Unavailable):
+                return False
+            self._apply(ChangesReply([], loaded.catalog.snapshot()))
+        return True
+
+    def ask_to_vouch(self, address: str) -> list[Member] | NoReply:
+        """Load the configuration from a live member that counts this node.
+
+        Called again every second or so until the node is on the roster; the member
+        stops counting a node that no longer asks.
+
+        Returns
+        -------
+        list of Member or NoReply
+            The members that the voucher knows.
+        """
+        while True:
+            asked_at = self._clock.monotonic()
+            request = VouchRequest(self._fleet.member, self._replica.version)
+            reply = self._bus.ask(address, request, VouchReply, _PULL_TIMEOUT_S)
+            if isinstance(reply, NoReply):
+                return reply
+            if reply.snapshot is None:
+                self._voucher = _Voucher(address, asked_at)
+                return reply.members
+            self._replica.apply_snapshot(reply.snapshot)
+
+    def tell_joined(self) -> None:
+        """Tell the voucher that this node is on the roster now."""
+        if self._voucher is not None:
+            me = self._fleet.member
+            notice = VouchRequest(me, self._replica.version, True)
+            self._bus.tell(self._voucher.address, notice)
+        self._voucher = None
+
+    def is_counted(self, is_on_roster: bool) -> bool:
+        """Return whether acceptance waits for this node, so that it may serve."""
+        if is_on_roster:
+            return True
+        if self._voucher is None:
+            return False
+        age_s = self._clock.monotonic() - self._voucher.confirmed_at
+        return age_s < _VOUCH_SERVE_S
+
+    def pull(self, address: str) -> bool:
+        """Fetch the changes that this node lacks from `address`."""
+        request = ChangesRequest(self._replica.version)
+        reply = self._bus.ask(address, request, ChangesReply, _PULL_TIMEOUT_S)
+        if isinstance(reply, NoReply):
+            return False
+        self._apply(reply)
+        return True
+
+    def _apply(self, reply: ChangesReply) -> None:
+        if reply.snapshot is not None:
+            self._replica.apply_snapshot(reply.snapshot)
+        for change in sorted(reply.changes, key=lambda change: change.version):
+            self._replica.apply_change(change)
+        self._report_to_origins()
+
+    def _check(self, version: int, roster: list[Member]) -> Acceptance:
+        me = self._fleet.member
+        self._tracker.forget_absent(roster)
+        self._tracker.report(me.vm, me.incarnation, self._vouched_version())
+        return self._tracker.check(version, roster)
+
+    def _poll_missing(self, state: Acceptance, roster: list[Member]) -> None:
+        tasks = [
+            gevent.spawn(self._poll, member, state.version)
+            for member in roster
+            if member.vm in state.missing and member.vm != self._fleet.member.vm
+        ]
+        gevent.joinall(tasks)
+
+    def _poll(self, member: Member, version: int) -> None:
+        request = InForceRequest(version, self._fleet.member.peer_address)
+        report = self._bus.ask(
+            member.peer_address, request, InForceReport, _REPORT_TIMEOUT_S
+        )
+        if isinstance(report, InForceReport):
+            self._handle_report(member.vm, report)
+
+    def _vouched_version(self) -> int:
+        """Return the version that this node and all it vouches for have in force."""
+        oldest = self._clock.monotonic() - _VOUCH_KEEP_S
+        self._vouched = {
+            vm: entry
+            for vm, entry in self._vouched.items()
+            if entry.refreshed_at >= oldest
+        }
+        versions = [entry.version for entry in self._vouched.values()]
+        return min([self._replica.version, *versions])
+
+    def _read_version(self) -> int:
+        return self._replica.version
+
+    def _reconcile(self, member: Member, theirs: int) -> None:
+        if theirs > self._replica.version:
+            self.pull(member.peer_address)
+
+    def _report(self) -> InForceReport:
+        me = self._fleet.member
+        return InForceReport(me.vm, me.incarnation, self._vouched_version())
+
+    def _report_to_origins(self) -> None:
+        version = self._vouched_version()
+        due = [wanted for wanted in self._origins if wanted <= version]
+        for address in {self._origins.pop(wanted) for wanted in due}:
+            self._bus.tell(address, self._report())
+
+    def _handle_announced(self, sender: str, news: ConfigAnnounced) -> None:
+        if news.version <= self._replica.version or news.version in self._origins:
+            return
+        self._origins[news.version] = news.origin
+        me = self._fleet.member.peer_address
+        if self.pull(news.source):
+            forward = ConfigAnnounced(news.version, me, news.origin)
+            self._fleet.publish(forward, exclude=sender)
+
+    def _handle_changes_request(
+        self, sender: str, request: ChangesRequest
+    ) -> ChangesReply:
+        changes = self._replica.changes_since(request.version)
+        if changes is None:
+            return ChangesReply([], self._replica.catalog.snapshot())
+        return ChangesReply(changes)
+
+    def _handle_report(self, sender: str, report: InForceReport) -> None:
+        self._tracker.report(report.vm, report.incarnation, report.version)
+
+    def _handle_report_request(
+        self, sender: str, request: InForceRequest
+    ) -> InForceReport:
+        if request.version > self._replica.version:
+            self.pull(request.source)
+        return self._report()
+
+    def _handle_vouch(self, sender: str, request: VouchRequest) -> VouchReply:
+        vm = request.member.vm
+        if request.is_joined:
+            self._vouched.pop(vm, None)
+        else:
+            now = self._clock.monotonic()
+            self._vouched[vm] = _Vouched(request.member, request.version, now)
+        self._report_to_origins()
+        snapshot = None
+        if request.version < self._replica.version:
+            snapshot = self._replica.catalog.snapshot()
+        return VouchReply(snapshot, self._fleet.present())
--- /dev/null
+++ b/libs/ctl/sapphirehoist/ctl/diff.py
@@ -0,0 +1,48 @@
+"""Differences between two sets of configuration objects."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from sapphirehoist.configuration import ConfigObject, ObjectName
+from sapphirehoist.configuration.change import name_of
+
+
+def diff_objects(
+    current: Iterable[ConfigObject],
+    wanted: Iterable[ConfigObject],
+    show_missing: bool = False,
+) -> list[str]:
+    """Return a line for each object and field of `wanted` that differs.
+
+    Parameters
+    ----------
+    current, wanted : iterable of ConfigObject
+        The two sets.
+    show_missing : bool
+        Whether objects that only `current` has are shown as removed.
+    """
+    before = {name_of(obj): obj for obj in current}
+    after = {name_of(obj): obj for obj in wanted}
+    lines = []
+    for name, obj in sorted(after.items()):
+        old = before.get(name)
+        if old is None:
+            lines.append(f"+ {name.kind}/{name.name}")
+        elif old != obj:
+            lines += _field_lines(name, old, obj)
+    if show_missing:
+        lines += [f"- {n.kind}/{n.name}" for n in sorted(set(before) - set(after))]
+    return lines
+
+
+def _field_lines(name: ObjectName, old: ConfigObject, new: ConfigObject) -> list[str]:
+    before = msgspec.to_builtins(old)
+    after = msgspec.to_builtins(new)
+    return [
+        f"~ {name.kind}/{name.name}: {field}: {before.get(field)!r} -> {value!r}"
+        for field, value in after.items()
+        if before.get(field) != value
+    ]
--- /dev/null
+++ b/libs/ctl/sapphirehoist/ctl/trace.py
@@ -0,0 +1,45 @@
+"""Writes a time line in the trace event format that common viewers open."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from sapphirehoist.messages import encode_json
+from sapphirehoist.observability import Event
+
+
+class TraceEvent(msgspec.Struct, frozen=True):
+    """An instant event; `ts` is in microseconds, `pid` is one number for each VM."""
+
+    name: str
+    pid: int
+    tid: int
+    ts: int
+    args: dict[str, str]
+    ph: str = "i"
+    s: str = "p"
+
+
+class ProcessName(msgspec.Struct, frozen=True):
+    """Names the VM behind a `pid`."""
+
+    pid: int
+    args: dict[str, str]
+    name: str = "process_name"
+    ph: str = "M"
+
+
+def to_trace(events: Iterable[Event]) -> bytes:
+    """Return `events` as a JSON array of trace events."""
+    pids: dict[str, int] = {}
+    trace: list[TraceEvent | ProcessName] = []
+    for event in events:
+        if event.vm not in pids:
+            pids[event.vm] = len(pids) + 1
+            trace.append(ProcessName(pids[event.vm], {"name": event.vm}))
+        facts = {"subject": event.subject, "detail": event.detail}
+        micros = event.at.wall_ms * 1000 + event.at.logical
+        trace.append(TraceEvent(event.kind, pids[event.vm], 1, micros, facts))
+    return encode_json(trace)
--- /dev/null
+++ b/libs/ctl/sapphirehoist/ctl/views.py
@@ -0,0 +1,64 @@
+"""What the operators' interface answers, as this tool reads it."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """One member."""
+
+    vm: str
+    incarnation: int
+    region: str
+    status: str
+    is_leaving: bool
+    caller_url: str
+    operator_url: str
+
+
+class StatusView(msgspec.Struct, frozen=True):
+    """One daemon and the fleet as it sees it."""
+
+    vm: str
+    region: str
+    config_version: int
+    may_serve: bool
+    under_way: int
+    members: list[MemberView]
+    leaving_endpoints: list[str]
+
+
+class ChangeView(msgspec.Struct, frozen=True):
+    """What became of a change."""
+
+    state: str
+    version: int = 0
+    missing: list[str] = []
+    faults: list[str] = []
+    detail: str = ""
+
+
+class ClassView(msgspec.Struct):
+    """Ends of one class."""
+
+    admitted: int = 0
+    met: int = 0
+    refused: int = 0
+
+
+class StageView(msgspec.Struct):
+    """Cost of one stage."""
+
+    calls: int = 0
+    retries: int = 0
+    busy_s: float = 0.0
+    bytes_out: int = 0
+    cross_region_bytes: int = 0
+
+
+class ReportView(msgspec.Struct):
+    """Accounts of one daemon."""
+
+    classes: dict[str, ClassView] = {}
+    stages: dict[str, StageView] = {}
--- /dev/null
+++ b/libs/daemon/sapphirehoist/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The program sapphirehoistd: settings, servers, signals."""
--- /dev/null
+++ b/libs/daemon/sapphirehoist/daemon/event_loop.py
@@ -0,0 +1,17 @@
+"""Pins gevent's event loop to epoll; io_uring is not used."""
+
+from __future__ import annotations
+
+import gevent
+from gevent import config
+
+BACKEND = "epoll"
+
+
+def pin_epoll() -> None:
+    """Select epoll and stop the process if another back end runs."""
+    if gevent.get_hub().loop.backend != BACKEND:
+        gevent.get_hub().destroy(destroy_loop=True)
+        config.libev_backend = BACKEND
+    backend = gevent.get_hub().loop.backend
+    assert backend == BACKEND, f"gevent runs on {backend}, not on {BACKEND}"
--- /dev/null
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -0,0 +1,236 @@
+"""Calls endpoints over HTTP; urllib3 neither retries nor follows redirects."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+from sapphirehoist.configuration import Endpoint
+from sapphirehoist.endpoints.client import (
+    Answered,
+    CallOutcome,
+    EndpointClient,
+    EndpointSigns,
+    Lost,
+    NotSent,
+    Refused,
+    StageCall,
+    Stream,
+    StreamBroken,
+    StreamResume,
+    TimedOut,
+)
+
+_CONNECT_TIMEOUT_S = 1.0
+_CANCEL_TIMEOUT_S = 1.0
+_POOLED_CONNECTIONS = 64
+_BLOCK_BYTES = 65_536
+_STATUS_OK = 200
+_BUSY_STATUSES = (429, 503)
+_EVENT_END = b"\n\n"
+_DONE_EVENT = b"event: done"
+
+
+class HttpEndpointClient(EndpointClient):
+    """Calls endpoints through one pool of connections."""
+
+    __slots__ = ("_pool",)
+
+    def __init__(self) -> None:
+        self._pool = urllib3.PoolManager(
+            num_pools=1024, maxsize=_POOLED_CONNECTIONS, retries=False
+        )
+
+    def call(self, endpoint: Endpoint, call: StageCall) -> CallOutcome:
+        """Call a stage and wait for its whole answer."""
+        resp = self._request(
+            "POST",
+            _stage_url(endpoint, call),
+            _headers(call),
+            call.body,
+            call.timeout_s,
+        )
+        if not isinstance(resp, urllib3.BaseHTTPResponse):
+            return resp
+        try:
+            body = resp.data
+        except ReadTimeoutError as exc:
+            return TimedOut(f"{endpoint.name}: {exc}")
+        except HTTPError as exc:
+            return Lost(f"{endpoint.name}: {exc}")
+        signs = _signs(resp)
+        if resp.status != _STATUS_OK:
+            return _refusal(endpoint, resp.status, body, signs)
+        mismatch = _mismatch(resp, call)
+        if mismatch:
+            return Lost(f"{endpoint.name}: {mismatch}")
+        return Answered(body, signs)
+
+    def open_stream(
+        self, endpoint: Endpoint, call: StageCall
+    ) -> Stream | NotSent | Refused | Lost | TimedOut:
+        """Call a stage that generates tokens."""
+        headers = _headers(call)
+        headers["Accept"] = "text/event-stream"
+        url = _stage_url(endpoint, call)
+        resp = self._request("POST", url, headers, call.body, call.timeout_s)
+        stream = _as_stream(endpoint, resp)
+        if isinstance(stream, HttpStream):
+            mismatch = _mismatch(stream.resp, call)
+            if mismatch:
+                stream.close()
+                return Lost(f"{endpoint.name}: {mismatch}")
+        return stream
+
+    def resume_stream(
+        self, endpoint: Endpoint, resume: StreamResume
+    ) -> Stream | NotSent | Refused | Lost | TimedOut:
+        """Continue an engine's stream from an offset."""
+        url = f"{endpoint.url}/v1/streams/{resume.stream_id}?offset={resume.offset}"
+        resp = self._request("GET", url, {}, None, resume.timeout_s)
+        return _as_stream(endpoint, resp)
+
+    def cancel(self, endpoint: Endpoint, request_id: str) -> None:
+        """Ask the endpoint to stop working on a request."""
+        url = f"{endpoint.url}/v1/requests/{request_id}"
+        resp = self._request("DELETE", url, {}, None, _CANCEL_TIMEOUT_S)
+        if isinstance(resp, urllib3.BaseHTTPResponse):
+            resp.release_conn()
+
+    def _request(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> urllib3.BaseHTTPResponse | NotSent | Lost | TimedOut:
+        timeout = urllib3.Timeout(
+            connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
+        )
+        try:
+            return self._pool.request(
+                method,
+                url,
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                redirect=False,
+                preload_content=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            return NotSent(f"{url}: {exc}")
+        except ReadTimeoutError as exc:
+            return TimedOut(f"{url}: {exc}")
+        except HTTPError as exc:
+            return Lost(f"{url}: {exc}")
+
+
+class HttpStream(Stream):
+    """An open response of server-sent events."""
+
+    __slots__ = ("_url", "resp", "signs", "stream_id")
+
+    def __init__(self, url: str, resp: urllib3.BaseHTTPResponse) -> None:
+        self.resp = resp
+        self.stream_id = resp.headers.get("X-Stream-Id", "")
+        self.signs = _signs(resp)
+        self._url = url
+
+    def events(self) -> Iterator[bytes | StreamBroken]:
+        """Yield blocks of whole events."""
+        partial = b""
+        try:
+            while block := self.resp.read1(_BLOCK_BYTES):
+                partial += block
+                end = partial.rfind(_EVENT_END) + len(_EVENT_END)
+                if end < len(_EVENT_END):
+                    continue
+                whole, partial = partial[:end], partial[end:]
+                yield whole
+                if _DONE_EVENT in whole:
+                    self.resp.release_conn()
+                    return
+        except HTTPError as exc:
+            yield StreamBroken(f"{self._url}: {exc}")
+            return
+        yield StreamBroken(f"{self._url}: the engine closed the stream")
+
+    def close(self) -> None:
+        """Release the connection."""
+        self.resp.close()
+
+
+def _stage_url(endpoint: Endpoint, call: StageCall) -> str:
+    return f"{endpoint.url}/v1/stages/{call.stage}"
+
+
+def _headers(call: StageCall) -> dict[str, str]:
+    headers = {
+        "X-Request-Id": call.request_id,
+        "X-Attempt": str(call.attempt),
+        "X-Team": call.team,
+        "X-Priority": str(call.priority),
+        "X-Deadline-Ms": str(int(call.timeout_s * 1000)),
+    }
+    if call.idempotency_key:
+        headers["Idempotency-Key"] = call.idempotency_key
+    return headers
+
+
+def _mismatch(resp: urllib3.BaseHTTPResponse, call: StageCall) -> str:
+    """Return why `resp` is not the answer to `call`, or an empty string."""
+    answered = (
+        resp.headers.get("X-Request-Id"),
+        resp.headers.get("X-Stage"),
+        resp.headers.get("X-Attempt"),
+    )
+    expected = (call.request_id, call.stage, str(call.attempt))
+    if answered == expected:
+        return ""
+    return f"the answer is for {answered}, the call was {expected}"
+
+
+def _signs(resp: urllib3.BaseHTTPResponse) -> EndpointSigns:
+    return EndpointSigns(
+        _as_int(resp.headers.get("X-Incarnation")) or 0,
+        resp.headers.get("X-Leaving") == "1",
+        _as_int(resp.headers.get("X-Load")),
+    )
+
+
+def _as_int(text: str | None) -> int | None:
+    return int(text) if text is not None and text.isdecimal() else None
+
+
+def _refusal(
+    endpoint: Endpoint, status: int, body: bytes, signs: EndpointSigns
+) -> Refused | Lost:
+    detail = f"{endpoint.name}: status {status}: {body[:200]!r}"
+    if status in _BUSY_STATUSES:
+        return Refused(detail, is_busy=True, signs=signs)
+    if status < 500:
+        return Refused(detail, is_busy=False, signs=signs)
+    return Lost(detail)
+
+
+def _as_stream(
+    endpoint: Endpoint, resp: urllib3.BaseHTTPResponse | NotSent | Lost | TimedOut
+) -> HttpStream | NotSent | Refused | Lost | TimedOut:
+    if not isinstance(resp, urllib3.BaseHTTPResponse):
+        return resp
+    if resp.status == _STATUS_OK:
+        return HttpStream(endpoint.name, resp)
+    signs = _signs(resp)
+    try:
+        body = resp.data
+    except HTTPError as exc:
+        return Lost(f"{endpoint.name}: {exc}")
+    return _refusal(endpoint, resp.status, body, signs)
--- /dev/null
+++ b/libs/node/sapphirehoist/node/parts.py
@@ -0,0 +1,63 @@
+"""The interfaces that one node runs on; a harness passes its own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from uuid import uuid4
+
+from sapphirehoist.clock import Clock, SystemClock
+from sapphirehoist.endpoints import EndpointClient, HttpEndpointClient
+from sapphirehoist.peers import CurveKeys, PeerTransport, ZmqTransport
+from sapphirehoist.platform import (
+    HttpTableService,
+    HttpVmList,
+    TableService,
+    VmList,
+)
+from sapphirehoist.settings import Settings
+
+
+@dataclass(frozen=True, slots=True)
+class NodeParts:
+    """Everything outside one node.
+
+    Attributes
+    ----------
+    clock : Clock
+        Wall time, monotonic time and sleep.
+    random : Random
+        Source of every random choice.
+    new_id : callable
+        Returns an id that is unique in the fleet.
+    transport : PeerTransport
+        Reaches other daemons.
+    table, vms : TableService, VmList
+        The platform's services.
+    client : EndpointClient
+        Reaches endpoints.
+    """
+
+    clock: Clock
+    random: Random
+    new_id: Callable[[], str]
+    transport: PeerTransport
+    table: TableService
+    vms: VmList
+    client: EndpointClient
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> NodeParts:
+        """Return the real parts: system clock, TCP and HTTP."""
+        peers = settings.peers
+        keys = CurveKeys(peers.public_key, peers.secret_key)
+        return cls(
+            SystemClock(),
+            Random(),
+            lambda: uuid4().hex,
+            ZmqTransport(peers.listen, keys),
+            HttpTableService(settings.platform.table),
+            HttpVmList(settings.platform.vms),
+            HttpEndpointClient(),
+        )
--- /dev/null
+++ b/libs/node/sapphirehoist/node/policies.py
@@ -0,0 +1,42 @@
+"""Chooses the decision policies that the settings name."""
+
+from __future__ import annotations
+
+from random import Random
+
+from sapphirehoist.decisions import (
+    AdmissionPolicy,
+    AdmitAll,
+    BudgetedRetry,
+    ClassTargets,
+    LeastInFlightRouting,
+    RandomRouting,
+    RetryPolicy,
+    RoundRobinRouting,
+    RoutingPolicy,
+    TargetAdmission,
+    TargetRouting,
+    UnlimitedRetry,
+)
+from sapphirehoist.settings import Policies
+
+
+def routing_policy(policies: Policies, random: Random) -> RoutingPolicy:
+    """Return the routing policy that `policies` names."""
+    if policies.routing == "random":
+        return RandomRouting(random)
+    if policies.routing == "round_robin":
+        return RoundRobinRouting()
+    if policies.routing == "least_in_flight":
+        return LeastInFlightRouting(random)
+    return TargetRouting(random)
+
+
+def admission_policy(policies: Policies, targets: ClassTargets) -> AdmissionPolicy:
+    """Return the admission policy that `policies` names."""
+    return AdmitAll() if policies.admission == "none" else TargetAdmission(targets)
+
+
+def retry_policy(policies: Policies) -> RetryPolicy:
+    """Return the retry policy that `policies` names."""
+    return UnlimitedRetry() if policies.retry == "unlimited" else BudgetedRetry()
--- /dev/null
+++ b/libs/observability/sapphirehoist/observability/__init__.py
@@ -0,0 +1,9 @@
+"""Counters, latency histograms, the time line of events and log set-up."""
+
+from __future__ import annotations
+
+from sapphirehoist.observability.logs import configure_logging
+from sapphirehoist.observability.metrics import Metrics
+from sapphirehoist.observability.timeline import Event, Timeline, merge_events
+
+__all__ = ["Event", "Metrics", "Timeline", "configure_logging", "merge_events"]
--- /dev/null
+++ b/libs/outcomes/sapphirehoist/outcomes/__init__.py
@@ -0,0 +1,8 @@
+"""The tagged ends of a request: done, not run, failed, unknown."""
+
+from __future__ import annotations
+
+from sapphirehoist.outcomes.ends import Done, Failed, NotRun, Outcome, Unknown
+from sapphirehoist.outcomes.reasons import Reason
+
+__all__ = ["Done", "Failed", "NotRun", "Outcome", "Reason", "Unknown"]
--- /dev/null
+++ b/libs/platform/sapphirehoist/platform/memory.py
@@ -0,0 +1,63 @@
+"""An in-memory table service with the platform's semantics."""
+
+from __future__ import annotations
+
+from sapphirehoist.platform.interface import (
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    Rows,
+    TableService,
+    TransactOutcome,
+    Write,
+)
+
+
+class MemoryTableService(TableService):
+    """Table service for embedders' tests and for the stand-in's state.
+
+    Examples
+    --------
+    >>> table = MemoryTableService()
+    >>> table.transact([Condition("a", 0)], [Write("a", b"1")])
+    Committed(revision=1)
+    >>> table.transact([Condition("a", 0)], [Write("a", b"2")])
+    Conflict(rows=[Row(key='a', value=b'1', revision=1)])
+    """
+
+    __slots__ = ("_revision", "_rows")
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+        self._revision = 0
+
+    def read_prefix(self, prefix: str) -> Rows:
+        """Return all rows whose key starts with `prefix`."""
+        keys = sorted(key for key in self._rows if key.startswith(prefix))
+        return Rows([self._rows[key] for key in keys])
+
+    def read(self, keys: list[str]) -> Rows:
+        """Return the rows of `keys` that are present."""
+        return Rows([self._rows[key] for key in keys if key in self._rows])
+
+    def transact(
+        self, conditions: list[Condition], writes: list[Write]
+    ) -> TransactOutcome:
+        """Apply `writes` if every condition holds."""
+        absent = {c.key: Row(c.key, b"", 0) for c in conditions}
+        current = [self._rows.get(c.key, absent[c.key]) for c in conditions]
+        failed = [
+            row
+            for row, condition in zip(current, conditions, strict=True)
+            if row.revision != condition.revision
+        ]
+        if failed:
+            return Conflict(failed)
+        self._revision += 1
+        for write in writes:
+            if write.value is None:
+                self._rows.pop(write.key, None)
+            else:
+                self._rows[write.key] = Row(write.key, write.value, self._revision)
+        return Committed(self._revision)
--- /dev/null
+++ b/libs/testing/sapphirehoist/standins/platform.py
@@ -0,0 +1,115 @@
+"""Stand-in for the platform: table service, object store and VM list."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from typing import Any
+
+import gevent
+import msgspec
+from bottle import Bottle, HTTPResponse, request
+
+from sapphirehoist.messages import encode_json
+from sapphirehoist.platform import Committed, Conflict, MemoryTableService
+from sapphirehoist.platform.http import ReadRequest, TransactRequest
+from sapphirehoist.standins.server import drop_connection
+
+_JSON = {"Content-Type": "application/json"}
+
+
+class PlatformStandIn:
+    """Serves a memory table, objects and a VM list, with switches for faults.
+
+    Switches: ``down`` (bool), ``slow_s`` (float), ``lose_answers`` (int: so many
+    coming transactions take effect but are not answered), ``vms`` (list),
+    ``vms_lag_s`` (float).
+    """
+
+    def __init__(self) -> None:
+        self._table = MemoryTableService()
+        self._objects: dict[str, bytes] = {}
+        self._down = False
+        self._slow_s = 0.0
+        self._lose_answers = 0
+        self._vms_lag_s = 0.0
+        self._vms: list[dict[str, Any]] = []
+        self._listed: deque[list[dict[str, Any]]] = deque([[]], maxlen=1)
+        self._counts = {"reads": 0, "transactions": 0, "rows_written": 0}
+        self.app = Bottle()
+        self.app.get("/v1/rows", callback=self._read_prefix)
+        self.app.post("/v1/read", callback=self._read)
+        self.app.post("/v1/transact", callback=self._transact)
+        self.app.get("/v1/objects/<key:path>", callback=self._get_object)
+        self.app.put("/v1/objects/<key:path>", callback=self._put_object)
+        self.app.get("/v1/vms", callback=self._read_vms)
+        self.app.post("/control", callback=self._control)
+        self.app.get("/counts", callback=lambda: json.dumps(self._counts))
+        self.app.get("/dump", callback=self._dump)
+
+    def _check_faults(self) -> None:
+        if self._slow_s:
+            gevent.sleep(self._slow_s)
+        if self._down:
+            raise HTTPResponse("down", 503)
+
+    def _read_prefix(self) -> HTTPResponse:
+        self._check_faults()
+        self._counts["reads"] += 1
+        rows = self._table.read_prefix(request.query["prefix"])
+        return HTTPResponse(encode_json(rows.rows), 200, _JSON)
+
+    def _read(self) -> HTTPResponse:
+        self._check_faults()
+        self._counts["reads"] += 1
+        keys = msgspec.json.decode(request.body.read(), type=ReadRequest).keys
+        return HTTPResponse(encode_json(self._table.read(keys).rows), 200, _JSON)
+
+    def _transact(self) -> HTTPResponse:
+        self._check_faults()
+        body = msgspec.json.decode(request.body.read(), type=TransactRequest)
+        self._counts["transactions"] += 1
+        outcome = self._table.transact(body.conditions, body.writes)
+        if isinstance(outcome, Committed):
+            self._counts["rows_written"] += len(body.writes)
+        if self._lose_answers:
+            self._lose_answers -= 1
+            drop_connection()
+        status = 409 if isinstance(outcome, Conflict) else 200
+        return HTTPResponse(encode_json(outcome), status, _JSON)
+
+    def _get_object(self, key: str) -> HTTPResponse:
+        self._check_faults()
+        if key not in self._objects:
+            return HTTPResponse("absent", 404)
+        return HTTPResponse(self._objects[key], 200)
+
+    def _put_object(self, key: str) -> HTTPResponse:
+        self._check_faults()
+        self._objects[key] = request.body.read()
+        return HTTPResponse("stored", 200)
+
+    def _read_vms(self) -> HTTPResponse:
+        self._check_faults()
+        states = {"type": "VmStates", "vms": self._listed[0]}
+        return HTTPResponse(json.dumps(states), 200, _JSON)
+
+    def _dump(self) -> HTTPResponse:
+        """Return all rows, whatever the switches: tests check invariants on them."""
+        rows = self._table.read_prefix(request.query.get("prefix", "")).rows
+        texts = {row.key: row.value.decode() for row in rows}
+        return HTTPResponse(json.dumps(texts), 200, _JSON)
+
+    def _control(self) -> str:
+        switches = json.loads(request.body.read())
+        self._down = switches.get("down", self._down)
+        self._slow_s = switches.get("slow_s", self._slow_s)
+        self._lose_answers = switches.get("lose_answers", self._lose_answers)
+        self._vms_lag_s = switches.get("vms_lag_s", self._vms_lag_s)
+        if "vms" in switches:
+            vms = switches["vms"]
+            if self._vms_lag_s:
+                gevent.spawn_later(self._vms_lag_s, self._listed.append, vms)
+            else:
+                self._listed.append(vms)
+        return "ok"
--- /dev/null
+++ b/libs/testing/sapphirehoist/standins/service.py
@@ -0,0 +1,75 @@
+"""Stand-in for a plain service whose calls have consequences.
+
+It counts executions, so that a test can see that none ran twice.
+"""
+
+from __future__ import annotations
+
+import json
+
+import gevent
+from bottle import Bottle, HTTPResponse, request
+
+from sapphirehoist.standins.server import drop_connection
+
+
+class ServiceStandIn:
+    """One plain service.
+
+    Switches: ``delay_s`` (float, before it runs), ``drop_answers`` (int: so many coming
+    calls run but are not answered), ``refuse`` (bool: 409 before anything runs),
+    ``leaving`` (bool), ``incarnation`` (int).
+    """
+
+    def __init__(self) -> None:
+        self._delay_s = 0.0
+        self._drop_answers = 0
+        self._refuse = False
+        self._leaving = False
+        self._incarnation = 1
+        self._executions: list[dict[str, str]] = []
+        self.app = Bottle()
+        self.app.post("/v1/stages/<stage>", callback=self._call)
+        self.app.delete("/v1/requests/<request_id>", callback=lambda request_id: "ok")
+        self.app.post("/control", callback=self._control)
+        self.app.get("/record", callback=lambda: json.dumps(self._executions))
+
+    def _call(self, stage: str) -> HTTPResponse:
+        body = request.body.read()
+        request_id = request.get_header("X-Request-Id")
+        signs = {
+            "X-Incarnation": str(self._incarnation),
+            "X-Leaving": str(int(self._leaving)),
+        }
+        if self._leaving:
+            return HTTPResponse("leaving", 503, signs)
+        if self._refuse:
+            return HTTPResponse("refused", 409, signs)
+        if self._delay_s:
+            gevent.sleep(self._delay_s)
+        self._executions.append(
+            {
+                "request_id": request_id,
+                "team": request.get_header("X-Team", ""),
+                "key": request.get_header("Idempotency-Key", ""),
+                "stage": stage,
+                "body": body.decode(),
+            }
+        )
+        if self._drop_answers:
+            self._drop_answers -= 1
+            drop_connection()
+        headers = {
+            **signs,
+            "X-Request-Id": request_id,
+            "X-Stage": stage,
+            "X-Attempt": request.get_header("X-Attempt"),
+        }
+        answer = f"{stage} {len(self._executions)}: {body.decode()}"
+        return HTTPResponse(answer.encode(), 200, headers)
+
+    def _control(self) -> str:
+        for name, value in json.loads(request.body.read()).items():
+            assert hasattr(self, f"_{name}"), name
+            setattr(self, f"_{name}", value)
+        return "ok"
--- /dev/null
+++ b/libs/testing/sapphirehoist/testing/__init__.py
@@ -0,0 +1,31 @@
+"""Stand-ins for the platform, engines and services, and fakes at every interface."""
+
+from __future__ import annotations
+
+from sapphirehoist.testing.caller import Answer, Caller, StreamedAnswer
+from sapphirehoist.testing.control import post_control, read_json
+from sapphirehoist.testing.deployment import Daemon, Deployment, EndpointSpec
+from sapphirehoist.testing.fakes import FakeEndpointClient, FakeVmList, FaultyTable
+from sapphirehoist.testing.in_process import InProcessFleet
+from sapphirehoist.testing.processes import ManagedProcess, free_port
+from sapphirehoist.testing.relay import Relay
+from sapphirehoist.testing.wait import wait_until
+
+__all__ = [
+    "Answer",
+    "Caller",
+    "Daemon",
+    "Deployment",
+    "EndpointSpec",
+    "FakeEndpointClient",
+    "FakeVmList",
+    "FaultyTable",
+    "InProcessFleet",
+    "ManagedProcess",
+    "Relay",
+    "StreamedAnswer",
+    "free_port",
+    "post_control",
+    "read_json",
+    "wait_until",
+]
--- /dev/null
+++ b/libs/testing/sapphirehoist/testing/deployment.py
@@ -0,0 +1,291 @@
+"""Starts a whole deployment on loopback: stand-ins and daemons as processes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+from uuid import uuid4
+
+import msgspec
+import urllib3
+import zmq
+from urllib3.exceptions import HTTPError
+
+from sapphirehoist.configuration import ConfigObject, Endpoint, EndpointKind
+from sapphirehoist.testing.control import post_control
+from sapphirehoist.testing.processes import ManagedProcess, free_port
+from sapphirehoist.testing.wait import wait_until
+
+OPERATOR_TOKEN = "operator-token-of-the-tests"
+RESUME_SECRET = "resume-secret-of-the-tests-0123456789"
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSpec:
+    """An endpoint to start.
+
+    Attributes
+    ----------
+    name, pool, region : str
+        Its name and place.
+    kind : EndpointKind
+        What stands behind it.
+    capacity, base_s, token_s
+        Speed of an engine or pool.
+    idempotent_calls : list of str
+        Stages that may be repeated.
+    """
+
+    name: str
+    pool: str
+    region: str
+    kind: EndpointKind = EndpointKind.POOL
+    capacity: int = 8
+    base_s: float = 0.005
+    token_s: float = 0.005
+    idempotent_calls: list[str] = field(default_factory=list)
+
+    def stand_in(self, port: int) -> dict[str, Any]:
+        """Return the stand-in's part of a process's specification."""
+        if self.kind is EndpointKind.SERVICE:
+            return {"kind": "service", "port": port}
+        return {
+            "kind": "engine",
+            "port": port,
+            "capacity": self.capacity,
+            "base_s": self.base_s,
+            "token_s": self.token_s,
+            "generates": self.kind is EndpointKind.ENGINE,
+        }
+
+    def configured(self, port: int) -> Endpoint:
+        """Return the endpoint as operators configure it."""
+        return Endpoint(
+            self.name,
+            f"http://127.0.0.1:{port}",
+            self.kind,
+            self.pool,
+            self.region,
+            f"{self.region}-a",
+            self.capacity,
+            False,
+            self.idempotent_calls,
+        )
+
+
+@dataclass(slots=True)
+class Daemon:
+    """One running daemon."""
+
+    vm: str
+    caller_url: str
+    operator_url: str
+    peer_port: int
+    settings: Path
+    process: ManagedProcess
+
+
+class Deployment:
+    """Stand-ins and daemons of one test, demo or measurement.
+
+    Parameters
+    ----------
+    folder : Path
+        Takes settings and logs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.daemons: dict[str, Daemon] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.stand_ins: dict[str, ManagedProcess] = {}
+        self._pool = urllib3.PoolManager(retries=False)
+        self._keys = [key.decode() for key in zmq.curve_keypair()]
+        self._processes: list[ManagedProcess] = []
+        self.platform_url = ""
+
+    def start_platform(self) -> None:
+        """Start the platform's stand-in."""
+        port = free_port()
+        self.platform_url = f"http://127.0.0.1:{port}"
+        self._start_stand_ins("platform", [{"kind": "platform", "port": port}])
+        self._wait_listening(self.platform_url + "/counts")
+
+    def start_endpoints(
+        self, specs: Sequence[EndpointSpec], apart: bool = True
+    ) -> None:
+        """Start endpoints, each in a process of its own if `apart`."""
+        ports = {spec.name: free_port() for spec in specs}
+        parts = [spec.stand_in(ports[spec.name]) for spec in specs]
+        if apart:
+            for spec, part in zip(specs, parts, strict=True):
+                self._start_stand_ins(spec.name, [part])
+        else:
+            self._start_stand_ins("endpoints", parts)
+        for spec in specs:
+            self.endpoints[spec.name] = spec.configured(ports[spec.name])
+        for spec in specs:
+            self._wait_listening(self.endpoints[spec.name].url + "/record")
+
+    def start_daemon(
+        self,
+        vm: str,
+        region: str,
+        change: Callable[[dict[str, Any]], None] | None = None,
+    ) -> Daemon:
+        """Start a daemon; `change` may edit its settings first."""
+        callers, operators, peers = free_port(), free_port(), free_port()
+        settings = self._settings(vm, region, callers, operators, peers)
+        if change is not None:
+            change(settings)
+        path = self.folder / f"{vm}.jsonc"
+        path.write_text(json.dumps(settings, indent=2))
+        daemon = Daemon(
+            vm,
+            f"http://127.0.0.1:{callers}",
+            f"http://127.0.0.1:{operators}",
+            peers,
+            path,
+            self._run_daemon(vm, path),
+        )
+        self.daemons[vm] = daemon
+        return daemon
+
+    def restart_daemon(self, vm: str) -> None:
+        """Start a daemon again with the same settings."""
+        daemon = self.daemons[vm]
+        daemon.process = self._run_daemon(vm, daemon.settings)
+
+    def wait_serving(self, count: int = 0) -> None:
+        """Wait until every daemon serves and sees `count` members alive."""
+        wanted = count or len(self.daemons)
+        for daemon in self.daemons.values():
+            if daemon.process.is_running():
+                wait_until(
+                    lambda d=daemon: self._is_serving(d, wanted),  # type: ignore[misc]
+                    f"{daemon.vm} serves with {wanted} members",
+                )
+
+    def apply(
+        self,
+        objects: Sequence[ConfigObject],
+        daemon: Daemon | None = None,
+        wait_s: float = 10.0,
+    ) -> dict[str, Any]:
+        """Commit `objects` and wait until they are accepted."""
+        target = daemon or next(iter(self.daemons.values()))
+        snapshot = self.operate(target, "GET", "/v1/config")
+        change = {
+            "change_id": uuid4().hex,
+            "expected_version": snapshot["version"],
+            "puts": msgspec.to_builtins(objects),
+        }
+        path = f"/v1/config/changes?wait_s={wait_s}"
+        return self.operate(target, "POST", path, change)
+
+    def operate(
+        self, daemon: Daemon, method: str, path: str, body: object | None = None
+    ) -> Any:
+        """Call a daemon's operators' interface."""
+        resp = self._pool.request(
+            method,
+            daemon.operator_url + path,
+            body=None if body is None else json.dumps(body).encode(),
+            headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+            timeout=40.0,
+        )
+        return json.loads(resp.data)
+
+    def list_vms(
+        self, *, leaving: Sequence[str] = (), absent: Sequence[str] = ()
+    ) -> None:
+        """Set the platform's list from what was started."""
+        names = [*self.daemons, *self.endpoints]
+        vms = [
+            {"vm": name, "is_leaving": name in leaving, "incarnation": 1}
+            for name in names
+            if name not in absent
+        ]
+        post_control(self.platform_url, vms=vms)
+
+    def close(self) -> None:
+        """Kill every process that was started."""
+        for process in self._processes:
+            if process.is_running():
+                process.thaw()
+                process.kill()
+
+    def _start_stand_ins(self, name: str, parts: list[dict[str, Any]]) -> None:
+        process = ManagedProcess(
+            "sapphirehoist.standins",
+            [json.dumps(parts)],
+            self.folder / f"{name}.log",
+        )
+        self._processes.append(process)
+        self.stand_ins[name] = process
+
+    def _run_daemon(self, vm: str, path: Path) -> ManagedProcess:
+        log = self.folder / f"{vm}.log"
+        process = ManagedProcess(
+            "sapphirehoist.daemon.main", ["--settings", str(path)], log
+        )
+        self._processes.append(process)
+        return process
+
+    def _settings(
+        self, vm: str, region: str, callers: int, operators: int, peers: int
+    ) -> dict[str, Any]:
+        seeds = [f"tcp://127.0.0.1:{d.peer_port}" for d in self.daemons.values()]
+        return {
+            "vm": vm,
+            "region": region,
+            "zone": f"{region}-a",
+            "callers": _listen(callers),
+            "operators_listen": _listen(operators),
+            "peers": {
+                "listen": f"tcp://127.0.0.1:{peers}",
+                "advertise": f"tcp://127.0.0.1:{peers}",
+                "public_key": self._keys[0],
+                "secret_key": self._keys[1],
+                "seeds": seeds,
+            },
+            "platform": {
+                "table": self.platform_url,
+                "objects": self.platform_url,
+                "vms": self.platform_url,
+            },
+            "operators": [
+                {
+                    "name": "operator",
+                    "token_sha256": sha256(OPERATOR_TOKEN.encode()).hexdigest(),
+                }
+            ],
+            "resume_secret": RESUME_SECRET,
+            "entries_ttl_s": 1.0,
+        }
+
+    def _is_serving(self, daemon: Daemon, count: int) -> bool:
+        try:
+            status = self.operate(daemon, "GET", "/v1/status")
+        except HTTPError:
+            assert daemon.process.is_running(), daemon.process.log.read_text()
+            return False
+        alive = [m for m in status["members"] if m["status"] == "alive"]
+        return status["may_serve"] and len(alive) >= count
+
+    def _wait_listening(self, url: str) -> None:
+        def is_listening() -> bool:
+            try:
+                return self._pool.request("GET", url, timeout=1.0).status == 200
+            except HTTPError:
+                return False
+
+        wait_until(is_listening, f"{url} answers")
+
+
+def _listen(port: int) -> dict[str, Any]:
+    return {"host": "127.0.0.1", "port": port, "url": f"http://127.0.0.1:{port}"}
--- /dev/null
+++ b/libs/testing/sapphirehoist/testing/fakes.py
@@ -0,0 +1,189 @@
+"""In-memory fakes at the interfaces, for tests in one process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from sapphirehoist.clock import Clock
+from sapphirehoist.configuration import Endpoint
+from sapphirehoist.endpoints import (
+    Answered,
+    CallOutcome,
+    EndpointClient,
+    EndpointSigns,
+    Lost,
+    NotSent,
+    Refused,
+    StageCall,
+    Stream,
+    StreamBroken,
+    StreamResume,
+    TimedOut,
+)
+from sapphirehoist.platform import (
+    Committed,
+    Condition,
+    MemoryTableService,
+    Rows,
+    TableService,
+    TransactOutcome,
+    Unavailable,
+    Undecided,
+    VmList,
+    VmState,
+    VmStates,
+    Write,
+)
+
+
+class FaultyTable(TableService):
+    """A table with switches for the platform's faults.
+
+    Parameters
+    ----------
+    table : TableService
+        Keeps the rows; several nodes may share it.
+    clock : Clock
+        Slowness is slept on it.
+
+    Attributes
+    ----------
+    is_down : bool
+        Whether no call is taken.
+    lose_answers : int
+        How many coming transactions take effect while their answer is lost.
+    lose_writes : int
+        How many coming transactions take no effect while their answer is lost.
+    delay_s : float
+        Slept before each call.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_table",
+        "delay_s",
+        "is_down",
+        "lose_answers",
+        "lose_writes",
+        "reads",
+        "rows_written",
+        "transactions",
+    )
+
+    def __init__(self, clock: Clock, table: TableService | None = None) -> None:
+        self._table = table or MemoryTableService()
+        self._clock = clock
+        self.is_down = False
+        self.lose_answers = 0
+        self.lose_writes = 0
+        self.delay_s = 0.0
+        self.reads = 0
+        self.transactions = 0
+        self.rows_written = 0
+
+    def read_prefix(self, prefix: str) -> Rows | Unavailable:
+        """Return all rows whose key starts with `prefix`."""
+        self.reads += 1
+        return self._unavailable() or self._table.read_prefix(prefix)
+
+    def read(self, keys: list[str]) -> Rows | Unavailable:
+        """Return the rows of `keys` that are present."""
+        self.reads += 1
+        return self._unavailable() or self._table.read(keys)
+
+    def transact(
+        self, conditions: list[Condition], writes: list[Write]
+    ) -> TransactOutcome:
+        """Apply `writes` if every condition holds, subject to the switches."""
+        down = self._unavailable()
+        if down is not None:
+            return down
+        if self.lose_writes:
+            self.lose_writes -= 1
+            return Undecided("the write was lost")
+        self.transactions += 1
+        outcome = self._table.transact(conditions, writes)
+        if isinstance(outcome, Committed):
+            self.rows_written += len(writes)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return Undecided("the answer was lost")
+        return outcome
+
+    def _unavailable(self) -> Unavailable | None:
+        if self.delay_s:
+            self._clock.sleep(self.delay_s)
+        return Unavailable("the table is down") if self.is_down else None
+
+
+class FakeVmList(VmList):
+    """A VM list that a test sets."""
+
+    __slots__ = ("states",)
+
+    def __init__(self, states: list[VmState] | None = None) -> None:
+        self.states = states or []
+
+    def read_vms(self) -> VmStates | Unavailable:
+        """Return the list as it was set."""
+        return VmStates(list(self.states))
+
+
+class FakeStream(Stream):
+    """A stream of given blocks."""
+
+    def __init__(self, blocks: list[bytes | StreamBroken]) -> None:
+        self.stream_id = "stream-1"
+        self.signs = EndpointSigns()
+        self.is_closed = False
+        self._blocks = blocks
+
+    def events(self) -> Iterator[bytes | StreamBroken]:
+        """Yield the blocks."""
+        yield from self._blocks
+
+    def close(self) -> None:
+        """Note that the stream was closed."""
+        self.is_closed = True
+
+
+class FakeEndpointClient(EndpointClient):
+    """Endpoints as a function; records every call.
+
+    Parameters
+    ----------
+    answer : callable
+        Returns the end of a call; by default the body is answered.
+    """
+
+    __slots__ = ("answer", "calls", "cancelled", "streams")
+
+    def __init__(
+        self, answer: Callable[[Endpoint, StageCall], CallOutcome] | None = None
+    ) -> None:
+        self.answer = answer or (lambda e, call: Answered(call.body, EndpointSigns()))
+        self.calls: list[tuple[str, StageCall]] = []
+        self.streams: list[Stream] = []
+        self.cancelled: list[str] = []
+
+    def call(self, endpoint: Endpoint, call: StageCall) -> CallOutcome:
+        """Record the call and answer it."""
+        self.calls.append((endpoint.name, call))
+        return self.answer(endpoint, call)
+
+    def open_stream(
+        self, endpoint: Endpoint, call: StageCall
+    ) -> Stream | NotSent | Refused | Lost | TimedOut:
+        """Record the call and return the next stream that was set."""
+        self.calls.append((endpoint.name, call))
+        return self.streams.pop(0)
+
+    def resume_stream(
+        self, endpoint: Endpoint, resume: StreamResume
+    ) -> Stream | NotSent | Refused | Lost | TimedOut:
+        """Return the next stream that was set."""
+        return self.streams.pop(0) if self.streams else NotSent("no stream is set")
+
+    def cancel(self, endpoint: Endpoint, request_id: str) -> None:
+        """Record the cancellation."""
+        self.cancelled.append(request_id)
--- /dev/null
+++ b/libs/testing/sapphirehoist/testing/in_process.py
@@ -0,0 +1,140 @@
+"""Several nodes in one process, on a manual clock and in-memory interfaces."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from itertools import count
+from random import Random
+
+from sapphirehoist.clock import ManualClock
+from sapphirehoist.configuration import ChangeRequest, ConfigObject
+from sapphirehoist.configuration.store import ChangeCommitted
+from sapphirehoist.node import Node, NodeParts
+from sapphirehoist.peers import MemoryNetwork, MemoryTransport
+from sapphirehoist.platform import MemoryTableService
+from sapphirehoist.settings import (
+    Listen,
+    OperatorKey,
+    PeerSettings,
+    PlatformSettings,
+    Settings,
+)
+from sapphirehoist.testing.fakes import FakeEndpointClient, FakeVmList, FaultyTable
+
+_LINK_DELAY_S = 0.001
+_STEP_S = 0.05
+
+
+class InProcessFleet:
+    """Nodes that share a clock, a network and a table.
+
+    Parameters
+    ----------
+    seed : int
+        Seeds every random choice.
+
+    Attributes
+    ----------
+    nodes : dict of str to Node
+        The nodes that were started, by VM.
+    tables : dict of str to FaultyTable
+        Each node's access to the shared table, with its own switches.
+    """
+
+    def __init__(self, seed: int = 1) -> None:
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(self.clock, _LINK_DELAY_S)
+        self.table = MemoryTableService()
+        self.vms = FakeVmList()
+        self.client = FakeEndpointClient()
+        self.nodes: dict[str, Node] = {}
+        self.tables: dict[str, FaultyTable] = {}
+        self._seed = seed
+        self._ids = count(1)
+        self._change_ids = count(1)
+
+    def start(self, vm: str, region: str = "vest", seeds: Sequence[str] = ()) -> Node:
+        """Start a node; call `run` to let it join."""
+        table = self.tables.setdefault(vm, FaultyTable(self.clock, self.table))
+        parts = NodeParts(
+            self.clock,
+            Random(f"{self._seed}/{vm}"),
+            self._new_id,
+            MemoryTransport(self.network, _address(vm)),
+            table,
+            self.vms,
+            self.client,
+        )
+        node = Node(_settings(vm, region, [_address(s) for s in seeds]), parts)
+        self.nodes[vm] = node
+        node.start()
+        return node
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.advance(seconds)
+
+    def run_until_joined(self, longest_s: float = 10.0) -> None:
+        """Let time pass until every node is on the roster and sees every other."""
+        waited = 0.0
+        while not self.is_joined():
+            assert waited < longest_s, f"nodes have not joined after {waited} s"
+            self.run(_STEP_S)
+            waited += _STEP_S
+
+    def is_joined(self) -> bool:
+        """Return whether every node is on the roster and sees every other."""
+        return all(
+            node.joiner.is_on_roster and len(node.fleet.present()) == len(self.nodes)
+            for node in self.nodes.values()
+        )
+
+    def commit(self, vm: str, objects: Sequence[ConfigObject]) -> int:
+        """Commit a change at `vm` and announce it; return its version."""
+        node = self.nodes[vm]
+        node.spread.catch_up_from_table()
+        change_id = f"change-{next(self._change_ids):06d}"
+        request = ChangeRequest(change_id, node.replica.version, list(objects))
+        outcome = node.store.commit(request, node.replica.catalog, "operator")
+        assert isinstance(outcome, ChangeCommitted), outcome
+        node.replica.apply_change(outcome.change)
+        node.spread.announce()
+        return outcome.change.version
+
+    def crash(self, vm: str) -> Node:
+        """Stop a node without warning."""
+        node = self.nodes.pop(vm)
+        node.kill()
+        self.network.detach(_address(vm))
+        return node
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut the link between two VMs."""
+        self.network.cut(_address(one), _address(other))
+
+    def close(self) -> None:
+        """Stop every node."""
+        for vm in list(self.nodes):
+            self.crash(vm)
+
+    def _new_id(self) -> str:
+        return f"id-{next(self._ids):08d}"
+
+
+def _address(vm: str) -> str:
+    return f"tcp://{vm}:7300"
+
+
+def _settings(vm: str, region: str, seeds: list[str]) -> Settings:
+    url = "http://127.0.0.1:1"
+    return Settings(
+        vm,
+        region,
+        f"{region}-a",
+        Listen("127.0.0.1", 1, f"http://{vm}:7100"),
+        Listen("127.0.0.1", 1, f"http://{vm}:7200"),
+        PeerSettings(_address(vm), _address(vm), "x" * 40, "x" * 40, seeds),
+        PlatformSettings(url, url, url),
+        [OperatorKey("operator", "0" * 64)],
+        "s" * 32,
+    )
--- /dev/null
+++ b/libs/testing/sapphirehoist/testing/wait.py
@@ -0,0 +1,23 @@
+"""Waiting for conditions instead of durations."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+T = TypeVar("T")
+
+_POLL_S = 0.02
+
+
+def wait_until(condition: Callable[[], T], what: str, timeout_s: float = 20.0) -> T:
+    """Return the first true value of `condition`; fail the test after `timeout_s`."""
+    deadline = time.monotonic() + timeout_s
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() >= deadline:
+            raise AssertionError(f"{what}: not within {timeout_s} s")
+        time.sleep(_POLL_S)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,19 @@
+"""Deployments on loopback for tests across processes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from sapphirehoist.testing import Deployment
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[Deployment]:
+    """Give an empty deployment whose platform runs; kill all of it at the end."""
+    started = Deployment(tmp_path)
+    started.start_platform()
+    yield started
+    started.close()
--- /dev/null
+++ b/tests/fleets.py
@@ -0,0 +1,68 @@
+"""A small fleet with one pipeline, one reservation service and two teams."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+
+from sapphirehoist.configuration import (
+    ClassOfWork,
+    ConfigObject,
+    EndpointKind,
+    Pipeline,
+    Stage,
+    Team,
+)
+from sapphirehoist.standins.engine import engine_tokens, stage_output
+from sapphirehoist.testing import Caller, Deployment, EndpointSpec
+
+STUDIO = "token-of-the-studio"
+DEPOT = "token-of-the-depot"
+
+
+def start_fleet(deployment: Deployment, daemons: int = 3, engines: int = 2) -> None:
+    """Start endpoints and daemons in one region and configure them."""
+    specs = [EndpointSpec("encoder-1", "encode", "vest", idempotent_calls=["encode"])]
+    specs += [
+        EndpointSpec(
+            f"engine-{number}",
+            "assistant",
+            "vest",
+            EndpointKind.ENGINE,
+            idempotent_calls=["generate"],
+        )
+        for number in range(1, engines + 1)
+    ]
+    service = EndpointKind.SERVICE
+    specs.append(EndpointSpec("reservations-1", "reservations", "vest", service))
+    deployment.start_endpoints(specs)
+    for number in range(1, daemons + 1):
+        deployment.start_daemon(f"entry-{number}", "vest")
+    deployment.list_vms()
+    deployment.wait_serving()
+    result = deployment.apply(configuration(deployment))
+    assert result["state"] == "accepted", result
+
+
+def configuration(deployment: Deployment) -> list[ConfigObject]:
+    """Return classes, pipelines, teams and the endpoints that were started."""
+    stages = [Stage("encode", "encode"), Stage("generate", "assistant", streams=True)]
+    return [
+        Team("studio", sha256(STUDIO.encode()).hexdigest()),
+        Team("depot", sha256(DEPOT.encode()).hexdigest()),
+        Pipeline("answers", stages),
+        Pipeline("reservations", [Stage("reserve", "reservations")]),
+        ClassOfWork("quick", "answers", 5000),
+        ClassOfWork("reserve", "reservations", 5000),
+        *deployment.endpoints.values(),
+    ]
+
+
+def caller_of(deployment: Deployment, vm: str, token: str = STUDIO) -> Caller:
+    """Return a caller that uses one daemon."""
+    return Caller(deployment.daemons[vm].caller_url, token)
+
+
+def expected_text(text: str) -> bytes:
+    """Return what the engine generates for a quick question."""
+    body = stage_output("encode", text.encode())
+    return "".join(engine_tokens(body)).encode()
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,100 @@
+"""The whole path over real sockets between separate processes."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+import urllib3
+from fleets import STUDIO, caller_of, expected_text, start_fleet
+
+from sapphirehoist.testing import Caller, Deployment, StreamedAnswer, read_json
+
+
+def test_answers_are_what_the_engine_produced(deployment: Deployment) -> None:
+    start_fleet(deployment)
+    caller = caller_of(deployment, "entry-1")
+    assert sorted(caller.entries()) == sorted(
+        daemon.caller_url for daemon in deployment.daemons.values()
+    )
+    whole = caller.submit("quick", "how loud? tokens=30")
+    assert (whole.status, whole.body) == (200, expected_text("how loud? tokens=30"))
+    streamed = caller.stream("quick", "how far? tokens=30")
+    assert isinstance(streamed, StreamedAnswer)
+    assert streamed.is_done
+    assert streamed.text == expected_text("how far? tokens=30")
+
+
+def test_a_key_runs_once_over_all_entries(deployment: Deployment) -> None:
+    start_fleet(deployment)
+    answers = [
+        caller_of(deployment, vm).submit("reserve", "booth 7", key="booking-1")
+        for vm in deployment.daemons
+    ]
+    assert {answer.body for answer in answers} == {b"reserve 1: booth 7"}
+    assert len(read_json(deployment.endpoints["reservations-1"].url, "/record")) == 1
+
+
+class TestBadInput:
+    """Each fault gets a typed refusal that names it; nothing runs."""
+
+    @pytest.fixture(autouse=True)
+    def fleet(self, deployment: Deployment) -> None:
+        start_fleet(deployment, daemons=1, engines=1)
+        self.deployment = deployment
+        self.caller = caller_of(deployment, "entry-1")
+
+    def refusal(self, body: bytes, token: str = STUDIO) -> tuple[int, str, str]:
+        resp = urllib3.request(
+            "POST",
+            self.caller.url + "/v1/requests",
+            body=body,
+            headers={"Authorization": f"Bearer {token}"},
+        )
+        ended = json.loads(resp.data)
+        assert ended["outcome"] == "not_run"
+        return resp.status, ended["reason"], ended["detail"]
+
+    def test_refusals_name_the_field(self) -> None:
+        cases = [
+            (b"{", "Input data was truncated"),
+            (b'{"class": "quick"}', "missing required field `input`"),
+            (b'{"class": "slow", "input": "x"}', "class: 'slow' is unknown; allowed"),
+            (
+                b'{"class": "quick", "input": "x", "colour": 1}',
+                "unknown field `colour`",
+            ),
+            (b'{"class": "quick", "input": "x", "deadline_ms": -5}', "deadline_ms: -5"),
+            (b'{"class": "quick", "input": "x", "deadline_ms": 9e9}', "deadline_ms"),
+            (b'{"class": "quick", "input": 7}', "$.input"),
+            (b" " * 1_100_000, "body: 1100000 bytes; allowed: 1048576"),
+            (b'{"class": "reserve", "input": "x"}', "Idempotency-Key: missing"),
+        ]
+        for body, fault in cases:
+            status, reason, detail = self.refusal(body)
+            assert (status, reason) == (400, "invalid"), body
+            assert fault in detail, (body, detail)
+        body = b'{"class": "quick", "input": "x"}'
+        status, reason, detail = self.refusal(body, token="forged")
+        assert (status, reason) == (401, "unauthorised")
+        for endpoint in self.deployment.endpoints.values():
+            assert read_json(endpoint.url, "/record") == []
+        assert self.caller.submit("quick", "still alive").status == 200
+
+    def test_operators_are_authorised(self) -> None:
+        url = self.deployment.daemons["entry-1"].operator_url
+        for path in ("/v1/config", "/v1/status", "/metrics"):
+            resp = urllib3.request("GET", url + path)
+            assert resp.status == 401
+
+    def test_a_forged_resume_token_is_refused(self) -> None:
+        other = Caller(self.caller.url, "token-of-the-depot")
+        streamed = self.caller.stream("quick", "x")
+        assert isinstance(streamed, StreamedAnswer)
+        stolen = other.resume(streamed)
+        assert not isinstance(stolen, StreamedAnswer)
+        assert stolen.status == 401
+        streamed.resume_token = "AAAA" + streamed.resume_token[4:]
+        forged = self.caller.resume(streamed)
+        assert not isinstance(forged, StreamedAnswer)
+        assert forged.status == 400
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,144 @@
+"""Runs the whole path on loopback: three daemons in three regions and stand-ins."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+from hashlib import sha256  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+from sapphirehoist.configuration import (  # noqa: E402
+    ClassOfWork,
+    ConfigObject,
+    EndpointKind,
+    Pipeline,
+    Stage,
+    Team,
+)
+from sapphirehoist.standins.engine import (  # noqa: E402
+    engine_tokens,
+    stage_output,
+)
+from sapphirehoist.testing import (  # noqa: E402
+    Caller,
+    Deployment,
+    EndpointSpec,
+    StreamedAnswer,
+    read_json,
+)
+
+REGIONS = ("montreal", "quebec", "sherbrooke")
+STAGES = ("encode", "retrieve", "rerank")
+TOKEN = "token-of-the-studio"
+
+
+def main() -> int:
+    """Run the demo; return the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(Path(folder))
+        try:
+            _run(deployment)
+        except AssertionError as exc:
+            print(f"demo: failed: {exc}")
+            return 1
+        finally:
+            deployment.close()
+    print("demo: ok")
+    return 0
+
+
+def _run(deployment: Deployment) -> None:
+    deployment.start_platform()
+    deployment.start_endpoints(_endpoints())
+    for number, region in enumerate(REGIONS, start=1):
+        deployment.start_daemon(f"entry-{number}", region)
+    deployment.list_vms()
+    deployment.wait_serving()
+    pids = [daemon.process.pid for daemon in deployment.daemons.values()]
+    print(f"three daemons in {', '.join(REGIONS)}: pids {pids}")
+    result = deployment.apply(_configuration(deployment))
+    assert result["state"] == "accepted", result
+    print(f"configuration: version {result['version']} is in force on every VM")
+    caller = Caller(deployment.daemons["entry-1"].caller_url, TOKEN)
+    entries = caller.entries()
+    assert len(entries) == 3, entries
+    print(f"entries to use: {', '.join(entries)}")
+    _stream(caller, entries[0])
+    _reserve(deployment, caller, entries)
+    _change_target(deployment)
+
+
+def _stream(caller: Caller, entry: str) -> None:
+    text = "which microphone suits a loud room? tokens=40"
+    answer = caller.stream("quick", text, entry)
+    assert isinstance(answer, StreamedAnswer), answer
+    body = text.encode()
+    for stage in STAGES:
+        body = stage_output(stage, body)
+    expected = "".join(engine_tokens(body)).encode()
+    assert answer.is_done, answer
+    assert answer.text == expected, "the answer differs from what the engine produced"
+    print(f"streamed {len(answer.text)} bytes through four stages, byte for byte")
+
+
+def _reserve(deployment: Deployment, caller: Caller, entries: list[str]) -> None:
+    for entry in entries:
+        answer = caller.submit("reserve", "booth 7 at 10:00", entry, key="booking-1")
+        assert answer.status == 200, answer
+        print(f"reservation at {entry}: {answer.body.decode()}")
+    executions = read_json(deployment.endpoints["reservations-1"].url, "/record")
+    assert len(executions) == 1, executions
+    print("three submissions with one key: the reservation ran once")
+
+
+def _change_target(deployment: Deployment) -> None:
+    changed = ClassOfWork("quick", "answers", 2500)
+    last = deployment.daemons["entry-3"]
+    result = deployment.apply([changed], last)
+    assert result["state"] == "accepted", result
+    for daemon in deployment.daemons.values():
+        config = deployment.operate(daemon, "GET", "/v1/config")
+        assert config["version"] == result["version"], (daemon.vm, config["version"])
+    print(f"target changed: version {result['version']} is in force on every VM")
+
+
+def _endpoints() -> list[EndpointSpec]:
+    specs = [
+        EndpointSpec(f"{stage}r-{region}", stage, region, idempotent_calls=[stage])
+        for stage in STAGES
+        for region in REGIONS[:1]
+    ]
+    specs += [
+        EndpointSpec(
+            f"engine-{region}",
+            "assistant",
+            region,
+            EndpointKind.ENGINE,
+            idempotent_calls=["generate"],
+        )
+        for region in REGIONS
+    ]
+    service = EndpointKind.SERVICE
+    specs.append(EndpointSpec("reservations-1", "reservations", REGIONS[0], service))
+    return specs
+
+
+def _configuration(deployment: Deployment) -> list[ConfigObject]:
+    stages = [Stage(name, name) for name in STAGES]
+    stages.append(Stage("generate", "assistant", streams=True))
+    return [
+        Team("studio", sha256(TOKEN.encode()).hexdigest()),
+        Pipeline("answers", stages),
+        Pipeline("reservations", [Stage("reserve", "reservations")]),
+        ClassOfWork("quick", "answers", 3000),
+        ClassOfWork("reserve", "reservations", 2000),
+        *deployment.endpoints.values(),
+    ]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
