Prove that calls with consequences run at most once

Cause: the claims existed but nothing showed them to hold under failure. A send after the transport was closed is dropped instead of failing its task.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,32 @@
+"""Measures what coordination costs for each unit of size, and fits slopes.
+
+Counted figures (bytes, messages, table operations, fake seconds) come from nodes in one
+process on a manual clock and are the same in each run. Processor time and memory are
+timed and vary.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+
+from slopes_claims import measure_claim_slopes  # noqa: E402
+from slopes_fleet import measure_fleet_slopes  # noqa: E402
+from slopes_process import measure_process_slopes  # noqa: E402
+from slopes_state import measure_state_slopes  # noqa: E402
+
+
+def main() -> int:
+    """Print every measurement and its fit."""
+    measure_fleet_slopes()
+    measure_claim_slopes()
+    measure_state_slopes()
+    measure_process_slopes()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libs/claims/sapphirehoist/claims/tests/test_properties.py
@@ -0,0 +1,80 @@
+"""Random faults over claims: a call is allowed at most once for each key."""
+
+from __future__ import annotations
+
+from collections import Counter
+from itertools import count
+
+import gevent
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sapphirehoist.claims import Claim, ClaimKey, ClaimRegistry
+from sapphirehoist.clock import ManualClock
+from sapphirehoist.observability import Metrics
+from sapphirehoist.outcomes import Done, NotRun, Reason
+from sapphirehoist.platform import MemoryTableService
+from sapphirehoist.testing import FaultyTable
+
+ENTRIES = 3
+KEYS = 3
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("request"), st.integers(0, ENTRIES - 1), st.integers(0, 2)),
+        st.tuples(st.just("not_run"), st.integers(0, ENTRIES - 1), st.integers(0, 2)),
+        st.tuples(st.just("down"), st.integers(0, ENTRIES - 1), st.booleans()),
+        st.tuples(
+            st.just("lose_answers"), st.integers(0, ENTRIES - 1), st.integers(1, 3)
+        ),
+        st.tuples(
+            st.just("lose_writes"), st.integers(0, ENTRIES - 1), st.integers(1, 3)
+        ),
+        st.tuples(st.just("advance"), st.just(0), st.integers(1, 40)),
+    ),
+    max_size=30,
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None, database=None)
+@given(STEPS)
+def test_at_most_one_call_for_each_key(steps: list[tuple]) -> None:
+    clock = ManualClock()
+    rows = MemoryTableService()
+    ids = count(1)
+    tables = [FaultyTable(clock, rows) for _ in range(ENTRIES)]
+    registries = [
+        ClaimRegistry(f"entry-{n}", table, clock, lambda: str(next(ids)), Metrics())
+        for n, table in enumerate(tables)
+    ]
+    calls: Counter[str] = Counter()
+
+    def request(registry: ClaimRegistry, key: ClaimKey, does_run: bool) -> None:
+        deadline = clock.monotonic() + 5
+        claim = registry.claim(key, "a" * 64, deadline)
+        if not isinstance(claim, Claim) or not registry.may_send(claim, deadline):
+            if isinstance(claim, Claim):
+                registry.release(claim)
+            return
+        if does_run:
+            calls[key.row_key] += 1
+            clock.sleep(0.3)
+            registry.finish(claim, Done(b""))
+        else:
+            registry.finish(claim, NotRun(Reason.NO_ENDPOINT, ""))
+
+    for kind, entry, argument in steps:
+        if kind in ("request", "not_run"):
+            key = ClaimKey("studio", str(argument))
+            gevent.spawn(request, registries[entry], key, kind == "request")
+            clock.settle()
+        elif kind == "down":
+            tables[entry].is_down = argument
+        elif kind == "advance":
+            clock.advance(argument / 10)
+        else:
+            setattr(tables[entry], kind, argument)
+    for table in tables:
+        table.is_down = False
+    clock.advance(60)
+    assert all(number <= 1 for number in calls.values()), calls
--- a/libs/configuration/sapphirehoist/configuration/spread.py
+++ b/libs/configuration/sapphirehoist/configuration/spread.py
@@ -32,7 +32,8 @@
 _PULL_TIMEOUT_S = 2.0
 _REPORT_TIMEOUT_S = 1.0
 _POLL_PAUSE_S = 0.5
-_BACKSTOP_INTERVAL_S = 10.0
+_BACKSTOP_LEAST_S = 10.0
+_BACKSTOP_PER_MEMBER_S = 0.3
 _VOUCH_SERVE_S = 4.0
 _VOUCH_KEEP_S = 10.0
 
@@ -145,9 +146,13 @@
             self._clock.sleep(_POLL_PAUSE_S)
 
     def run_backstop(self) -> None:
-        """Read the head of the table now and then, until killed."""
+        """Read the head of the table now and then, until killed.
+
+        A node reads less often as the fleet grows; what one node reads, all learn.
+        """
         while True:
-            self._clock.sleep(_BACKSTOP_INTERVAL_S)
+            wanted_s = _BACKSTOP_PER_MEMBER_S * len(self._fleet.present())
+            self._clock.sleep(max(_BACKSTOP_LEAST_S, wanted_s))
             self.catch_up_from_table()
 
     def catch_up_from_table(self) -> bool:
--- a/libs/leases/sapphirehoist/leases/lease.py
+++ b/libs/leases/sapphirehoist/leases/lease.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -25,6 +26,8 @@
     Write,
 )
 
+_LOOK_PER_CANDIDATE_S = 0.3
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseTimes:
@@ -149,11 +152,20 @@
             )
             self._timeline.record("lease_released", self._key)
 
-    def run(self) -> None:
-        """Refresh the lease until killed."""
+    def run(self, candidates: Callable[[], int]) -> None:
+        """Refresh the lease until killed.
+
+        Parameters
+        ----------
+        candidates : callable
+            Returns the number of nodes that run this. Those that do not hold the lease
+            look at it less often the more they are, so that their reads stay flat.
+        """
         while True:
-            self.refresh()
-            self._clock.sleep(self._times.renew_every_s)
+            pause_s = self._times.renew_every_s
+            if self.refresh() is None:
+                pause_s = max(pause_s, _LOOK_PER_CANDIDATE_S * candidates())
+            self._clock.sleep(pause_s)
 
     def _has_lapsed(self, row: Row) -> bool:
         current = decode_json(row.value, LeaseRow)
--- a/libs/node/sapphirehoist/node/node.py
+++ b/libs/node/sapphirehoist/node/node.py
@@ -103,7 +103,7 @@
             self.spread.run_backstop,
             self.joiner.run_backstop,
             self._watch.run,
-            self._lease.run,
+            self._run_lease,
             self._run_sweeper,
         ):
             self._spawn(run)
@@ -301,6 +301,9 @@
         self.fleet.begin_incarnation(news.incarnation + 1)
         self._spawn(self.joiner.run)
 
+    def _run_lease(self) -> None:
+        self._lease.run(self._fleet_size)
+
     def _run_sweeper(self) -> None:
         while True:
             self._parts.clock.sleep(_SWEEP_INTERVAL_S)
--- a/libs/peers/sapphirehoist/peers/zeromq.py
+++ b/libs/peers/sapphirehoist/peers/zeromq.py
@@ -68,6 +68,8 @@
 
     def send(self, address: str, payload: bytes) -> bool:
         """Queue `payload` for `address`; False where its queue is full."""
+        if self._context.closed:
+            return False
         try:
             self._dealer(address).send(payload, zmq.NOBLOCK)
         except zmq.Again:
--- a/libs/testing/sapphirehoist/testing/in_process.py
+++ b/libs/testing/sapphirehoist/testing/in_process.py
@@ -21,7 +21,6 @@
 )
 from sapphirehoist.testing.fakes import FakeEndpointClient, FakeVmList, FaultyTable
 
-_LINK_DELAY_S = 0.001
 _STEP_S = 0.05
 
 
@@ -32,6 +31,8 @@
     ----------
     seed : int
         Seeds every random choice.
+    delay_s : float
+        One-way delay of every link.
 
     Attributes
     ----------
@@ -41,9 +42,9 @@
         Each node's access to the shared table, with its own switches.
     """
 
-    def __init__(self, seed: int = 1) -> None:
+    def __init__(self, seed: int = 1, delay_s: float = 0.001) -> None:
         self.clock = ManualClock()
-        self.network = MemoryNetwork(self.clock, _LINK_DELAY_S)
+        self.network = MemoryNetwork(self.clock, delay_s)
         self.table = MemoryTableService()
         self.vms = FakeVmList()
         self.client = FakeEndpointClient()
--- a/libs/testing/sapphirehoist/testing/relay.py
+++ b/libs/testing/sapphirehoist/testing/relay.py
@@ -18,13 +18,19 @@
         Where connections are relayed to.
     port : int
         Where to listen; 0 for any free port.
+
+    Attributes
+    ----------
+    bytes_relayed : int
+        Bytes that passed, both ways.
     """
 
-    __slots__ = ("_is_cut", "_server", "_sockets", "_target_port")
+    __slots__ = ("_is_cut", "_server", "_sockets", "_target_port", "bytes_relayed")
 
     def __init__(self, target_port: int, port: int = 0) -> None:
         self._target_port = target_port
         self._is_cut = False
+        self.bytes_relayed = 0
         self._sockets: set[socket.socket] = set()
         self._server = StreamServer(("127.0.0.1", port), self._relay)
         self._server.start()
@@ -69,6 +75,7 @@
     def _pump(self, source: socket.socket, target: socket.socket) -> None:
         try:
             while data := source.recv(_BLOCK_BYTES):
+                self.bytes_relayed += len(data)
                 target.sendall(data)
         except OSError:
             pass
--- /dev/null
+++ b/tests/test_counted_slopes.py
@@ -0,0 +1,62 @@
+"""Control traffic of a node must not grow with the fleet beyond its budget.
+
+The budget is 3 KB/s for each node at 370 nodes. At rest a node may spend a third of it;
+changes (11,000 a day), failures (83) and replacements (690) share another third.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from sapphirehoist.configuration import Team
+from sapphirehoist.testing import InProcessFleet
+
+BUDGET_BYTES_S = 3_000
+WIRE_OVERHEAD_BYTES = 35
+DAY_S = 86_400
+CHANGES_A_DAY = 11_000
+
+
+def control_bytes(fleet: InProcessFleet) -> int:
+    """Return bytes sent and received by all nodes, with the overhead on the wire."""
+    names = ("peer_sent_bytes_total", "peer_received_bytes_total")
+    nodes = fleet.nodes.values()
+    payload = sum(node.metrics.total(name) for node in nodes for name in names)
+    messages = 2 * sum(node.metrics.total("peer_sent_total") for node in nodes)
+    return payload + messages * WIRE_OVERHEAD_BYTES
+
+
+@pytest.fixture(scope="module")
+def costs() -> dict[int, tuple[float, float]]:
+    """Return bytes at rest and bytes for one change, each per node, by size."""
+    measured = {}
+    for size in (8, 32, 64):
+        fleet = InProcessFleet(seed=size)
+        for number in range(size):
+            fleet.start(f"vm-{number}")
+        fleet.run_until_joined(60)
+        fleet.run(10)
+        before = control_bytes(fleet)
+        fleet.run(30)
+        at_rest = (control_bytes(fleet) - before) / 30 / size
+        before = control_bytes(fleet)
+        fleet.commit("vm-3", [Team("team-1", "1" * 64)])
+        fleet.run(5)
+        assert {node.replica.version for node in fleet.nodes.values()} == {1}
+        change = (control_bytes(fleet) - before) / size - 5 * at_rest
+        measured[size] = (at_rest, change)
+        fleet.close()
+    return measured
+
+
+def test_bytes_at_rest_are_flat(costs: dict[int, tuple[float, float]]) -> None:
+    assert costs[64][0] <= BUDGET_BYTES_S / 3
+    assert costs[64][0] <= 1.1 * costs[8][0]
+
+
+def test_bytes_for_a_change_grow_with_the_logarithm(
+    costs: dict[int, tuple[float, float]],
+) -> None:
+    for_each_doubling = (costs[64][1] - costs[8][1]) / 3
+    at_target = costs[64][1] + for_each_doubling * 2.6
+    assert at_target * CHANGES_A_DAY / DAY_S <= BUDGET_BYTES_S / 3
