--- a/libs/endpoints/sapphirehoist/endpoints/http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 
 import urllib3
+from urllib3.connection import HTTPConnection, HTTPSConnection
+from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -31,6 +33,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 _CANCEL_TIMEOUT_S = 1.0
 _POOLED_CONNECTIONS = 64
+_POOLS = 1024
 _BLOCK_BYTES = 65_536
 _STATUS_OK = 200
 _BUSY_STATUSES = (429, 503)
@@ -38,15 +41,45 @@
 _DONE_EVENT = b"event: done"
 
 
+class _StreamConnection(HTTPConnection):
+    """Asks with HTTP/1.0, so that a stream ends with its connection.
+
+    A stream then has no chunks to take apart; its last event says that it is complete.
+    """
+
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
+class _SecureStreamConnection(HTTPSConnection):
+    """Like `_StreamConnection`, over TLS."""
+
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
+class _StreamPool(HTTPConnectionPool):
+    ConnectionCls = _StreamConnection
+
+
+class _SecureStreamPool(HTTPSConnectionPool):
+    ConnectionCls = _SecureStreamConnection
+
+
 class HttpEndpointClient(EndpointClient):
-    """Calls endpoints through one pool of connections."""
+    """Calls endpoints through pools of connections, one of them for streams."""
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_pool", "_streams")
 
     def __init__(self) -> None:
         self._pool = urllib3.PoolManager(
-            num_pools=1024, maxsize=_POOLED_CONNECTIONS, retries=False
+            num_pools=_POOLS, maxsize=_POOLED_CONNECTIONS, retries=False
         )
+        self._streams = urllib3.PoolManager(num_pools=_POOLS, retries=False)
+        self._streams.pool_classes_by_scheme = {
+            "http": _StreamPool,
+            "https": _SecureStreamPool,
+        }
 
     def call(self, endpoint: Endpoint, call: StageCall) -> CallOutcome:
         """Call a stage and wait for its whole answer."""
@@ -80,7 +113,9 @@
         headers = _headers(call)
         headers["Accept"] = "text/event-stream"
         url = _stage_url(endpoint, call)
-        resp = self._request("POST", url, headers, call.body, call.timeout_s)
+        resp = self._request(
+            "POST", url, headers, call.body, call.timeout_s, self._streams
+        )
         stream = _as_stream(endpoint, resp)
         if isinstance(stream, HttpStream):
             mismatch = _mismatch(stream.resp, call)
@@ -94,7 +129,7 @@
     ) -> Stream | NotSent | Refused | Lost | TimedOut:
         """Continue an engine's stream from an offset."""
         url = f"{endpoint.url}/v1/streams/{resume.stream_id}?offset={resume.offset}"
-        resp = self._request("GET", url, {}, None, resume.timeout_s)
+        resp = self._request("GET", url, {}, None, resume.timeout_s, self._streams)
         return _as_stream(endpoint, resp)
 
     def cancel(self, endpoint: Endpoint, request_id: str) -> None:
@@ -111,12 +146,13 @@
         headers: dict[str, str],
         body: bytes | None,
         timeout_s: float,
+        pool: urllib3.PoolManager | None = None,
     ) -> urllib3.BaseHTTPResponse | NotSent | Lost | TimedOut:
         timeout = urllib3.Timeout(
             connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
         )
         try:
-            return self._pool.request(
+            return (pool or self._pool).request(
                 method,
                 url,
                 body=body,
@@ -149,14 +185,16 @@
         partial = b""
         try:
             while block := self.resp.read1(_BLOCK_BYTES):
-                partial += block
-                end = partial.rfind(_EVENT_END) + len(_EVENT_END)
-                if end < len(_EVENT_END):
-                    continue
-                whole, partial = partial[:end], partial[end:]
-                yield whole
-                if _DONE_EVENT in whole:
-                    self.resp.release_conn()
+                block = partial + block
+                partial = b""
+                if not block.endswith(_EVENT_END):
+                    end = block.rfind(_EVENT_END) + len(_EVENT_END)
+                    if end < len(_EVENT_END):
+                        partial = block
+                        continue
+                    block, partial = block[:end], block[end:]
+                yield block
+                if _DONE_EVENT in block:
                     return
         except HTTPError as exc:
             yield StreamBroken(f"{self._url}: {exc}")
--- a/libs/pipeline/sapphirehoist/pipeline/streams.py
+++ b/libs/pipeline/sapphirehoist/pipeline/streams.py
@@ -88,6 +88,7 @@
     offset: int
     deadline: float
     size: int = 0
+    last_block: bytes = b""
     is_complete: bool = False
 
 
@@ -246,9 +247,7 @@
                     broken = item
                     break
                 flow.size += len(item)
-                ids = _EVENT_ID.findall(item)
-                if ids:
-                    flow.offset = int(ids[-1])
+                flow.last_block = item
                 yield StreamBlock(item)
             if broken is None:
                 flow.is_complete = True
@@ -264,6 +263,9 @@
         remaining_s = flow.deadline - self._clock.monotonic()
         if remaining_s <= 0:
             return False
+        ids = _EVENT_ID.findall(flow.last_block)
+        if ids:
+            flow.offset = int(ids[-1])
         resume = StreamResume(flow.stream.stream_id, flow.offset, remaining_s)
         stream = self._client.resume_stream(flow.endpoint, resume)
         if not isinstance(stream, Stream):
