Prove that an accepted configuration is in force everywhere and never reverts

Cause: the mechanism stood without a proof under failure. Found by the tests: a node that started during an outage asked another voucher each second, so that several members counted it; it now keeps one as long as it answers.

--- a/libs/configuration/sapphirehoist/configuration/spread.py
+++ b/libs/configuration/sapphirehoist/configuration/spread.py
@@ -194,6 +194,10 @@
                 return reply.members
             self._replica.apply_snapshot(reply.snapshot)
 
+    def voucher_address(self) -> str:
+        """Return the address of the member that counts this node, if any."""
+        return self._voucher.address if self._voucher is not None else ""
+
     def tell_joined(self) -> None:
         """Tell the voucher that this node is on the roster now."""
         if self._voucher is not None:
--- a/libs/node/sapphirehoist/node/join.py
+++ b/libs/node/sapphirehoist/node/join.py
@@ -116,8 +116,10 @@
 
     def _ask_a_peer(self) -> None:
         known = [member.peer_address for member in self._fleet.others()]
-        for address in [*known, *self._seeds]:
-            if address == self._fleet.member.peer_address:
+        # One voucher is kept as long as it answers, so that no other waits for us.
+        first = self._spread.voucher_address()
+        for address in dict.fromkeys([first, *known, *self._seeds]):
+            if address in ("", self._fleet.member.peer_address):
                 continue
             members = self._spread.ask_to_vouch(address)
             if not isinstance(members, NoReply):
--- a/libs/node/sapphirehoist/node/tests/test_join.py
+++ b/libs/node/sapphirehoist/node/tests/test_join.py
@@ -2,20 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
-import pytest
-
 from sapphirehoist.testing import InProcessFleet
 
 
-@pytest.fixture
-def fleet() -> Iterator[InProcessFleet]:
-    started = InProcessFleet()
-    yield started
-    started.close()
-
-
 def test_nodes_that_join_at_once_meet(fleet: InProcessFleet) -> None:
     for number in range(3):
         fleet.start(f"vm-{number}")
--- /dev/null
+++ b/libs/node/sapphirehoist/node/tests/test_properties.py
@@ -0,0 +1,143 @@
+"""Random faults over configuration, endpoints and the lease of a duty."""
+
+from __future__ import annotations
+
+from itertools import count
+
+import gevent
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sapphirehoist.configuration import (
+    Acceptance,
+    ChangeCommitted,
+    ChangeRequest,
+    Team,
+)
+from sapphirehoist.node import Node
+from sapphirehoist.platform import VmState
+from sapphirehoist.testing import InProcessFleet
+
+NODES = 4
+VMS = [f"vm-{number}" for number in range(NODES)]
+CONVERGE_S = 45
+
+VM = st.integers(0, NODES - 1)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("commit"), VM, VM),
+        st.tuples(st.just("cut"), VM, VM),
+        st.tuples(st.just("heal"), VM, VM),
+        st.tuples(st.just("down"), VM, VM),
+        st.tuples(st.just("up"), VM, VM),
+        st.tuples(st.just("lose_answers"), VM, st.integers(1, 2)),
+        st.tuples(st.just("lose_writes"), VM, st.integers(1, 2)),
+        st.tuples(st.just("restart"), VM, VM),
+        st.tuples(st.just("drain"), VM, VM),
+        st.tuples(st.just("advance"), VM, st.integers(1, 80)),
+    ),
+    min_size=5,
+    max_size=25,
+)
+
+
+class Checker:
+    """Drives a fleet through steps and checks what must always hold."""
+
+    def __init__(self) -> None:
+        self.fleet = InProcessFleet(seed=5)
+        self.fleet.vms.states = [VmState(vm) for vm in VMS]
+        self.reversals: list[str] = []
+        for vm in VMS:
+            self.start(vm)
+        self.fleet.run_until_joined(30)
+        self.accepted = 0
+        self._ids = count(1)
+
+    def start(self, vm: str) -> None:
+        seeds = [other for other in VMS if other != vm]
+        node = self.fleet.start(vm, seeds=seeds)
+        seen = [0]
+
+        def check(catalog: object) -> None:
+            version = node.replica.version
+            if version <= seen[0]:
+                self.reversals.append(f"{vm}: {version} after {seen[0]}")
+            seen[0] = version
+
+        node.replica.on_change(check)
+
+    def apply(self, kind: str, one: int, other: int) -> None:
+        fleet, vm = self.fleet, VMS[one]
+        if kind == "commit":
+            gevent.spawn(self.commit, fleet.nodes[vm])
+        elif kind == "cut" and one != other:
+            fleet.cut(vm, VMS[other])
+        elif kind == "heal":
+            fleet.network.heal()
+        elif kind in ("down", "up"):
+            fleet.tables[vm].is_down = kind == "down"
+        elif kind in ("lose_answers", "lose_writes"):
+            setattr(fleet.tables[vm], kind, other)
+        elif kind == "restart":
+            fleet.crash(vm)
+            self.start(vm)
+        elif kind == "drain":
+            fleet.nodes[vm].standing.drain(f"engine-{other}")
+        elif kind == "advance":
+            for _ in range(other):
+                fleet.run(0.1)
+                self.check_accepted()
+
+    def commit(self, node: Node) -> None:
+        node.spread.catch_up_from_table()
+        number = next(self._ids)
+        request = ChangeRequest(
+            f"change-{number:06d}",
+            node.replica.version,
+            [Team(f"team-{number % 5}", f"{number:064x}")],
+        )
+        outcome = node.store.commit(request, node.replica.catalog, "operator")
+        if not isinstance(outcome, ChangeCommitted):
+            return
+        node.replica.apply_change(outcome.change)
+        node.spread.announce()
+        state = node.spread.wait_accepted(outcome.change.version, 20)
+        if isinstance(state, Acceptance) and state.is_accepted:
+            self.accepted = max(self.accepted, outcome.change.version)
+
+    def check_accepted(self) -> None:
+        for vm, node in self.fleet.nodes.items():
+            if node.joiner.may_serve():
+                assert node.replica.version >= self.accepted, (
+                    f"{vm} serves with version {node.replica.version} "
+                    f"while {self.accepted} is accepted"
+                )
+
+    def check_converged(self) -> None:
+        for table in self.fleet.tables.values():
+            table.is_down = False
+            table.lose_answers = table.lose_writes = 0
+        self.fleet.network.heal()
+        self.fleet.run(CONVERGE_S)
+        nodes = list(self.fleet.nodes.values())
+        catalogs = {str(node.replica.catalog.snapshot()) for node in nodes}
+        assert len(catalogs) == 1, [node.replica.version for node in nodes]
+        assert all(node.joiner.may_serve() for node in nodes)
+        leaving = {tuple(node.standing.leaving()) for node in nodes}
+        assert len(leaving) == 1, leaving
+        assert not self.reversals
+
+
+@settings(derandomize=True, max_examples=60, deadline=None, database=None)
+@given(STEPS)
+def test_accepted_versions_are_in_force_and_never_go_back(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    checker = Checker()
+    try:
+        for step in steps:
+            checker.apply(*step)
+        checker.check_converged()
+    finally:
+        checker.fleet.close()
--- a/libs/testing/sapphirehoist/testing/in_process.py
+++ b/libs/testing/sapphirehoist/testing/in_process.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from itertools import count
 from random import Random
+from typing import TypeVar
+
+import gevent
 
 from sapphirehoist.clock import ManualClock
-from sapphirehoist.configuration import ChangeRequest, ConfigObject
-from sapphirehoist.configuration.store import ChangeCommitted
+from sapphirehoist.configuration import (
+    Acceptance,
+    ChangeCommitted,
+    ChangeRequest,
+    ConfigObject,
+)
 from sapphirehoist.node import Node, NodeParts
 from sapphirehoist.peers import MemoryNetwork, MemoryTransport
 from sapphirehoist.platform import MemoryTableService
@@ -23,6 +30,8 @@
 
 _STEP_S = 0.05
 
+T = TypeVar("T")
+
 
 class InProcessFleet:
     """Nodes that share a clock, a network and a table.
@@ -102,6 +111,24 @@
         node.spread.announce()
         return outcome.change.version
 
+    def call(self, act: Callable[[], T], longest_s: float = 60.0) -> T:
+        """Run `act` in a task while time passes; return its value."""
+        task = gevent.spawn(act)
+        waited_s = 0.0
+        self.clock.settle()
+        while not task.ready():
+            assert waited_s < longest_s, f"not done after {longest_s} s"
+            self.run(_STEP_S)
+            waited_s += _STEP_S
+        return task.get()
+
+    def wait_accepted(self, vm: str, version: int, timeout_s: float) -> Acceptance:
+        """Wait at `vm` until `version` is accepted, or `timeout_s` have passed."""
+        spread = self.nodes[vm].spread
+        state = self.call(lambda: spread.wait_accepted(version, timeout_s))
+        assert isinstance(state, Acceptance), state
+        return state
+
     def crash(self, vm: str) -> Node:
         """Stop a node without warning."""
         node = self.nodes.pop(vm)
--- /dev/null
+++ b/tests/test_operators_tool.py
@@ -0,0 +1,86 @@
+"""sapphirehoistctl against running daemons: tables, JSON, exit codes."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from fleets import caller_of, start_fleet
+
+from sapphirehoist.testing import Deployment, ManagedProcess
+from sapphirehoist.testing.deployment import OPERATOR_TOKEN
+
+CHANGED = """
+// A tighter target for quick questions.
+[{"type": "class_of_work", "name": "quick", "pipeline": "answers", "target_ms": 900}]
+"""
+
+
+class TestTool:
+    @pytest.fixture(autouse=True)
+    def fleet(self, deployment: Deployment, tmp_path: Path) -> None:
+        start_fleet(deployment, daemons=2, engines=1)
+        self.deployment = deployment
+        self.folder = tmp_path
+        self.runs = 0
+
+    def run(self, *arguments: str, token: str = OPERATOR_TOKEN) -> tuple[int, str]:
+        self.runs += 1
+        log = self.folder / f"ctl-{self.runs}.log"
+        url = self.deployment.daemons["entry-1"].operator_url
+        process = ManagedProcess(
+            "sapphirehoist.ctl.main",
+            arguments,
+            log,
+            {"SAPPHIREHOIST_URL": url, "SAPPHIREHOIST_TOKEN": token, "PAGER": "cat"},
+        )
+        code = process.wait(30)
+        assert code is not None
+        return code, log.read_text()
+
+    def write(self, name: str, text: str) -> str:
+        path = self.folder / name
+        path.write_text(text)
+        return str(path)
+
+    def test_apply_diff_history_get(self) -> None:
+        file = self.write("changed.jsonc", CHANGED)
+        assert "target_ms: 5000 -> 900" in self.run("diff", file)[1]
+        code, text = self.run("apply", file)
+        assert (code, "accepted: version 2" in text) == (0, True)
+        assert self.run("diff", file) == (0, "no difference\n")
+        assert "class_of_work/quick" in self.run("history")[1]
+        code, text = self.run("get", "class_of_work", "quick", "--json")
+        assert json.loads(text)[0]["target_ms"] == 900
+        code, text = self.run("apply", file, "--expect=1")
+        assert (code, "conflict: version 2 came first" in text) == (1, True)
+
+    def test_faults_are_named(self) -> None:
+        unknown = (
+            '[{"type": "class_of_work", "name": "q", "pipeline": "p", "target_ms": 9}]'
+        )
+        code, text = self.run("apply", self.write("unknown.jsonc", unknown))
+        assert code == 1
+        assert "pipeline: 'p' is unknown; allowed: answers, reservations" in text
+        broken = '[{"type": "team", "name": "A b", "token_sha256": "x"}]'
+        code, text = self.run("apply", self.write("broken.jsonc", broken))
+        assert (code, "$[0].name" in text) == (1, True)
+        assert self.run("status", token="forged")[0] == 1
+        assert self.run("status", "--url=http://127.0.0.1:9")[0] == 2
+
+    def test_status_drain_report_timeline(self) -> None:
+        assert caller_of(self.deployment, "entry-2").submit("quick", "x").status == 200
+        code, text = self.run("status")
+        assert (code, text.count("alive")) == (0, 2)
+        code, text = self.run("drain", "engine-1")
+        assert (code, "engine-1" in text) == (0, True)
+        assert self.run("drain", "engine-9")[0] == 1
+        code, text = self.run("report")
+        assert "quick" in text and "generate" in text
+        code, text = self.run("timeline")
+        assert "config_in_force" in text and "endpoint_leaving" in text
+        trace = str(self.folder / "trace.json")
+        assert self.run("timeline", f"--trace={trace}")[0] == 0
+        names = {event["name"] for event in json.loads(Path(trace).read_text())}
+        assert {"process_name", "endpoint_leaving"} <= names
