Prove that every caller gets the whole answer to its own request

Cause: resumption and matching stood without a proof under failure. Found by the tests: a reply delivered twice before its request woke replaced the first and was not counted; it is now dropped.

--- a/libs/peers/sapphirehoist/peers/bus.py
+++ b/libs/peers/sapphirehoist/peers/bus.py
@@ -131,12 +131,12 @@
             gevent.spawn(self._handle, envelope, reply)
 
     def receive_reply(self, payload: bytes) -> None:
-        """Match a reply to its request; a late one is dropped and counted."""
+        """Match a reply to its request; a late or repeated one is dropped."""
         envelope = self._open(payload)
         if envelope is None:
             return
         pending = self._calls.get(envelope.call_id)
-        if pending is None:
+        if pending is None or pending.ready():
             self._metrics.count("peer_late_replies_total", kind=envelope.kind)
             return
         pending.set(envelope)
--- a/libs/testing/sapphirehoist/standins/engine.py
+++ b/libs/testing/sapphirehoist/standins/engine.py
@@ -130,6 +130,8 @@
         if self._leaving:
             return HTTPResponse("leaving", 503, self._signs())
         body = request.body.read()
+        if self._wrong_id:
+            body = b"another request"
         request_id = request.get_header("X-Request-Id")
         tokens = engine_tokens(body) if self._generates else [""]
         job = _Job(request_id, stage, tokens)
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,155 @@
+"""Streams over processes: every caller gets the whole text of its own request."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from fleets import DEPOT, STUDIO, caller_of, expected_text, start_fleet
+
+from sapphirehoist.testing import (
+    Answer,
+    Deployment,
+    StreamedAnswer,
+    post_control,
+    read_json,
+    wait_until,
+)
+
+LONG = "summarise the session tokens=120"
+
+
+@pytest.fixture(autouse=True)
+def fleet(deployment: Deployment) -> None:
+    start_fleet(deployment)
+
+
+def engine_of(deployment: Deployment) -> str:
+    """Return the engine that generates the only request."""
+    names = ("engine-1", "engine-2")
+    return next(n for n in names if read_json(deployment.endpoints[n].url, "/record"))
+
+
+def start_stream(deployment: Deployment, vm: str) -> tuple[gevent.Greenlet, list]:
+    """Start a stream in a task; return it and the list that takes its progress."""
+    seen: list[StreamedAnswer] = []
+    caller = caller_of(deployment, vm)
+    task = gevent.spawn(caller.stream, "quick", LONG, on_text=seen.append)
+    wait_until(lambda: seen and len(seen[-1].text) > 100, "some text arrived")
+    return task, seen
+
+
+def test_the_entry_is_killed_and_the_stream_resumed_elsewhere(
+    deployment: Deployment,
+) -> None:
+    task, _ = start_stream(deployment, "entry-1")
+    deployment.daemons["entry-1"].process.kill()
+    broken = task.get()
+    assert isinstance(broken, StreamedAnswer)
+    assert not broken.is_done
+    whole = caller_of(deployment, "entry-2").resume(broken)
+    assert isinstance(whole, StreamedAnswer)
+    assert whole.is_done
+    assert whole.text == expected_text(LONG)
+
+
+def test_a_caller_that_moves_keeps_its_stream(deployment: Deployment) -> None:
+    # The stream outlasts the time after which an abandoned one is cancelled.
+    text = "summarise the session tokens=1300"
+    seen: list[StreamedAnswer] = []
+
+    class Moved(Exception):
+        pass
+
+    def leave(answer: StreamedAnswer) -> None:
+        seen.append(answer)
+        if len(answer.text) > 100:
+            raise Moved
+
+    with pytest.raises(Moved):
+        caller_of(deployment, "entry-1").stream("quick", text, on_text=leave)
+    whole = caller_of(deployment, "entry-3").resume(seen[-1])
+    assert isinstance(whole, StreamedAnswer)
+    assert whole.text == expected_text(text)
+
+
+def test_work_of_a_caller_that_is_gone_is_cancelled(deployment: Deployment) -> None:
+    class Gone(Exception):
+        pass
+
+    def leave(answer: StreamedAnswer) -> None:
+        raise Gone
+
+    text = "summarise the session tokens=5000"
+    caller = caller_of(deployment, "entry-1")
+    with pytest.raises(Gone):
+        caller.stream("quick", text, on_text=leave, deadline_ms=50_000)
+    url = deployment.endpoints[engine_of(deployment)].url
+    wait_until(
+        lambda: any(r["stage"] == "cancel" for r in read_json(url, "/record")),
+        "the engine was told to stop",
+    )
+
+
+def test_an_engine_that_breaks_before_the_first_token(deployment: Deployment) -> None:
+    post_control(deployment.endpoints["engine-1"].url, break_after=1)
+    for number in range(4):
+        text = f"{number} {LONG}"
+        answer = caller_of(deployment, "entry-1").stream("quick", text)
+        assert isinstance(answer, StreamedAnswer)
+        assert answer.text == expected_text(text)
+
+
+@pytest.mark.parametrize("after", [2, 7, 30])
+def test_the_engine_breaks_the_connection(deployment: Deployment, after: int) -> None:
+    for name in ("engine-1", "engine-2"):
+        post_control(deployment.endpoints[name].url, break_after=after)
+    answer = caller_of(deployment, "entry-1").stream("quick", LONG)
+    assert isinstance(answer, StreamedAnswer)
+    assert answer.is_done
+    assert answer.text == expected_text(LONG)
+
+
+def test_the_engine_dies(deployment: Deployment) -> None:
+    task, _ = start_stream(deployment, "entry-1")
+    deployment.stand_ins[engine_of(deployment)].kill()
+    answer = task.get()
+    assert isinstance(answer, StreamedAnswer)
+    assert not answer.is_done
+    assert "connection_lost" in answer.ended
+    assert expected_text(LONG).startswith(answer.text)
+
+
+def test_an_answer_for_another_request_is_dropped(deployment: Deployment) -> None:
+    post_control(deployment.endpoints["engine-1"].url, wrong_id=True)
+    for number in range(6):
+        text = f"question {number}"
+        caller = caller_of(deployment, "entry-1")
+        answer = caller.submit("quick", text)
+        assert (answer.status, answer.body) == (200, expected_text(text))
+        streamed = caller.stream("quick", text)
+        assert isinstance(streamed, StreamedAnswer)
+        assert streamed.text == expected_text(text)
+
+
+def test_equal_request_ids_of_two_teams(deployment: Deployment) -> None:
+    def ask(token: str, text: str) -> Answer:
+        caller = caller_of(deployment, "entry-1", token)
+        return caller.submit("quick", text, request_id="request-1")
+
+    texts = [(token, f"{token} {n}") for n in range(10) for token in (STUDIO, DEPOT)]
+    tasks = [gevent.spawn(ask, *pair) for pair in texts]
+    for task, (_, text) in zip(tasks, texts, strict=True):
+        assert task.get().body == expected_text(text)
+
+
+def test_many_streams_at_once_are_not_mixed(deployment: Deployment) -> None:
+    def ask(number: int) -> tuple[str, StreamedAnswer | Answer]:
+        vm = f"entry-{number % 3 + 1}"
+        text = f"question {number} tokens={10 + number}"
+        return text, caller_of(deployment, vm).stream("quick", text)
+
+    tasks = [gevent.spawn(ask, number) for number in range(40)]
+    for task in tasks:
+        text, answer = task.get()
+        assert isinstance(answer, StreamedAnswer), answer
+        assert answer.text == expected_text(text)
