Do not cancel a stream whose caller moved before it was seen to leave

Change: the notice marks the stream itself, abandoned or not. Conclusion: the promise of the resume token holds for callers that move.

--- a/libs/pipeline/sapphirehoist/pipeline/streams.py
+++ b/libs/pipeline/sapphirehoist/pipeline/streams.py
@@ -90,6 +90,7 @@
     size: int = 0
     last_block: bytes = b""
     is_complete: bool = False
+    is_taken: bool = False
 
 
 class StreamRunner:
@@ -118,6 +119,7 @@
         "_client",
         "_clock",
         "_fleet",
+        "_flows",
         "_metrics",
         "_orphans",
         "_pools",
@@ -147,6 +149,7 @@
         self._bus = bus
         self._clock = clock
         self._metrics = metrics
+        self._flows: dict[str, _Flow] = {}
         self._orphans: dict[str, gevent.Greenlet] = {}
         bus.subscribe(StreamTaken, self._handle_taken)
 
@@ -186,7 +189,7 @@
         remaining_s = (token.deadline_ms - now_ms) / 1000
         if remaining_s <= 0:
             return Failed(Reason.DEADLINE, "the deadline of the request passed")
-        self._adopt(token)
+        self._take_over(token)
         resume = StreamResume(token.stream_id, offset, remaining_s)
         stream = self._client.resume_stream(endpoint, resume)
         if not isinstance(stream, Stream):
@@ -207,6 +210,7 @@
     ) -> Iterator[StreamBlock | StreamEnd]:
         started = self._clock.monotonic()
         outcome: Outcome = Failed(Reason.CALLER_GONE, "the caller went away")
+        self._flows[flow.request_id] = flow
         try:
             yield StreamBlock(self._started_event(req, flow))
             first = True
@@ -231,6 +235,7 @@
     def _run_resumed(
         self, token: ResumeToken, flow: _Flow
     ) -> Iterator[StreamBlock | StreamEnd]:
+        self._flows[flow.request_id] = flow
         try:
             started = Started(flow.request_id, self._signer.sign(token))
             yield StreamBlock(_event("started", encode_json(started)))
@@ -292,7 +297,9 @@
     def _leave(self, flow: _Flow) -> None:
         """Release the stream; cancel it later unless the caller resumes it."""
         flow.stream.close()
-        if not flow.is_complete:
+        if self._flows.get(flow.request_id) is flow:
+            del self._flows[flow.request_id]
+        if not flow.is_complete and not flow.is_taken:
             task = gevent.spawn(self._cancel_later, flow)
             self._orphans[flow.request_id] = task
 
@@ -302,9 +309,9 @@
         self._client.cancel(flow.endpoint, flow.request_id)
         self._metrics.count("streams_cancelled_total")
 
-    def _adopt(self, token: ResumeToken) -> None:
+    def _take_over(self, token: ResumeToken) -> None:
         """Keep the VM that served the stream before from cancelling it."""
-        self._forget_orphan(token.request_id)
+        self._give_away(token.request_id)
         news = self._fleet.view.get(token.vm)
         if news is None or news.member is None or token.vm == self._fleet.member.vm:
             return
@@ -313,10 +320,14 @@
         self._bus.ask(address, notice, StreamTakenAck, _TAKEN_TIMEOUT_S)
 
     def _handle_taken(self, sender: str, notice: StreamTaken) -> StreamTakenAck:
-        self._forget_orphan(notice.request_id)
+        self._give_away(notice.request_id)
         return StreamTakenAck()
 
-    def _forget_orphan(self, request_id: str) -> None:
+    def _give_away(self, request_id: str) -> None:
+        """Do not cancel the stream, also if its caller is not yet seen to be gone."""
+        flow = self._flows.get(request_id)
+        if flow is not None:
+            flow.is_taken = True
         task = self._orphans.pop(request_id, None)
         if task is not None:
             task.kill(block=False)
