--- a/libs/endpoints/sapphirehoist/endpoints/standing.py
+++ b/libs/endpoints/sapphirehoist/endpoints/standing.py
@@ -106,9 +106,7 @@
 
     def observe(self, endpoint: str, signs: EndpointSigns) -> None:
         """Take what an endpoint said of itself."""
-        known = self._incarnations.get(endpoint, 0)
-        if signs.incarnation > known:
-            self._incarnations[endpoint] = signs.incarnation
+        self._note_incarnation(endpoint, signs.incarnation)
         if signs.is_leaving:
             self._learn(endpoint, signs.incarnation, EndpointStatus.LEAVING, "endpoint")
         elif endpoint in self._news:
@@ -116,6 +114,7 @@
 
     def observe_listed(self, endpoint: str, incarnation: int, is_leaving: bool) -> None:
         """Take one entry of the platform's list."""
+        self._note_incarnation(endpoint, incarnation)
         if is_leaving:
             self._learn(endpoint, incarnation, EndpointStatus.LEAVING, "list")
         elif endpoint in self._news:
@@ -129,6 +128,10 @@
             incarnation = max(incarnation, news.incarnation)
         self._learn(endpoint, incarnation, EndpointStatus.LEAVING, "operator")
 
+    def _note_incarnation(self, endpoint: str, incarnation: int) -> None:
+        if incarnation > self._incarnations.get(endpoint, 0):
+            self._incarnations[endpoint] = incarnation
+
     def _learn(
         self, endpoint: str, incarnation: int, status: EndpointStatus, source: str
     ) -> None:
@@ -139,7 +142,15 @@
         if status is EndpointStatus.LEAVING:
             self._metrics.count("endpoint_leaving_total", source=source)
 
-    def _take(self, news: EndpointNews) -> bool:
+    def _resolve(self, news: EndpointNews) -> EndpointNews:
+        """Apply news of no known incarnation to the newest one known here."""
+        incarnation = self._incarnations.get(news.endpoint, 0)
+        if news.incarnation or not incarnation:
+            return news
+        return EndpointNews(news.endpoint, incarnation, news.status)
+
+    def _take(self, received: EndpointNews) -> bool:
+        news = self._resolve(received)
         known = self._news.get(news.endpoint)
         if known is not None and news.precedence() <= known.precedence():
             return False
--- a/libs/pipeline/sapphirehoist/pipeline/streams.py
+++ b/libs/pipeline/sapphirehoist/pipeline/streams.py
@@ -237,7 +237,8 @@
     ) -> Iterator[StreamBlock | StreamEnd]:
         self._flows[flow.request_id] = flow
         try:
-            started = Started(flow.request_id, self._signer.sign(token))
+            own = msgspec.structs.replace(token, vm=self._fleet.member.vm)
+            started = Started(flow.request_id, self._signer.sign(own))
             yield StreamBlock(_event("started", encode_json(started)))
             yield from self._pass_on(flow)
         finally:
