--- a/libs/membership/sapphirehoist/membership/detector.py
+++ b/libs/membership/sapphirehoist/membership/detector.py
@@ -29,12 +29,15 @@
         How long a member is suspected before it is declared dead.
     dead_probe_every : int
         One heartbeat in this many goes to a dead member, which heals a partition.
+    keep_gone_s : float
+        How long news of a member that is gone is kept.
     """
 
     interval_s: float = 1.0
     ack_timeout_s: float = 0.5
     suspicion_s: float = 2.5
     dead_probe_every: int = 4
+    keep_gone_s: float = 3600.0
 
 
 class FailureDetector:
@@ -61,6 +64,7 @@
         "_clock",
         "_cycle",
         "_fleet",
+        "_gone_at",
         "_metrics",
         "_random",
         "_suspected_at",
@@ -85,6 +89,7 @@
         self._times = times or DetectorTimes()
         self._cycle: list[Member] = []
         self._suspected_at: dict[tuple[str, int, int], float] = {}
+        self._gone_at: dict[tuple[str, int], float] = {}
         self._ticks = 0
         bus.subscribe(Ping, self._handle_ping)
         bus.subscribe(IndirectPing, self._handle_indirect_ping)
@@ -99,6 +104,7 @@
                 # What timed out during a pause says nothing about the others.
                 self._suspected_at.clear()
             self._declare_dead()
+            self._forget_gone()
             target = self._next_target()
             if target is not None:
                 gevent.spawn(self.probe, target)
@@ -197,6 +203,18 @@
                     self._fleet.learn(_with_status(news, Status.DEAD))
         self._suspected_at = suspected
 
+    def _forget_gone(self) -> None:
+        """Forget members that have been gone for long enough."""
+        now = self._clock.monotonic()
+        gone_at = {}
+        for news in self._fleet.view.all_news():
+            if news.status is Status.GONE:
+                key = (news.vm, news.incarnation)
+                gone_at[key] = self._gone_at.get(key, now)
+                if now - gone_at[key] >= self._times.keep_gone_s:
+                    self._fleet.view.forget(news.vm)
+        self._gone_at = gone_at
+
 
 def _with_status(news: MemberNews, status: Status) -> MemberNews:
     return MemberNews(news.vm, news.incarnation, news.counter, status, news.is_leaving)
--- a/libs/membership/sapphirehoist/membership/view.py
+++ b/libs/membership/sapphirehoist/membership/view.py
@@ -13,8 +13,9 @@
 class MemberView:
     """The newest news of each member.
 
-    News of a member that is gone is kept, so that older news cannot bring the same
-    incarnation back.
+    News of a member that is gone is kept for a while, so that older news cannot bring
+    the same incarnation back; it does not count in digests, so that nodes may forget it
+    at different times.
 
     Examples
     --------
@@ -70,6 +71,12 @@
         found = [n for n in self._news.values() if n.status in statuses and n.member]
         return [n.member for n in sorted(found, key=lambda n: n.vm) if n.member]
 
+    def forget(self, vm: str) -> None:
+        """Drop the news of a member that is gone."""
+        known = self._news.get(vm)
+        if known is not None and known.status is Status.GONE:
+            del self._news[vm]
+
     def bucket_digests(self) -> list[int]:
         """Return one digest for each bucket of members."""
         return list(self._buckets)
@@ -83,7 +90,7 @@
         return [n for n in self._news.values() if _bucket(n.vm) in buckets]
 
     def _toggle(self, news: MemberNews | None) -> None:
-        if news is not None:
+        if news is not None and news.status is not Status.GONE:
             state = f"{news.vm} {news.precedence()}".encode()
             self._buckets[_bucket(news.vm)] ^= crc32(state)
 
--- a/libs/node/sapphirehoist/node/tests/test_membership.py
+++ b/libs/node/sapphirehoist/node/tests/test_membership.py
@@ -101,6 +101,31 @@
     assert (after - before) / 30 / 24 <= 2.1
 
 
+def test_a_stop_during_a_table_outage_leaves_the_roster_later(
+    fleet: InProcessFleet,
+) -> None:
+    start(fleet, 3)
+    fleet.tables["vm-1"].is_down = True
+    fleet.call(fleet.nodes["vm-1"].stop, longest_s=70)
+    del fleet.nodes["vm-1"]
+    fleet.vms.states = [VmState("vm-0"), VmState("vm-2")]
+    fleet.run(20)
+    members = fleet.nodes["vm-0"].roster.read()
+    assert isinstance(members, list)
+    assert {member.vm for member in members} == {"vm-0", "vm-2"}
+
+
+def test_members_that_are_gone_are_forgotten(fleet: InProcessFleet) -> None:
+    start(fleet, 3)
+    fleet.call(fleet.nodes["vm-1"].stop, longest_s=70)
+    del fleet.nodes["vm-1"]
+    fleet.run(10)
+    assert fleet.nodes["vm-0"].fleet.view.get("vm-1") is not None
+    fleet.run(3700)
+    assert fleet.nodes["vm-0"].fleet.view.get("vm-1") is None
+    assert fleet.nodes["vm-2"].fleet.view.get("vm-1") is None
+
+
 def test_a_planned_stop_is_known_everywhere(fleet: InProcessFleet) -> None:
     start(fleet, 4)
     node = fleet.nodes["vm-1"]
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,153 @@
+"""Planned stops and replacements cut off nothing."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from fleets import STUDIO, caller_of, expected_text, start_fleet
+
+from sapphirehoist.testing import (
+    Answer,
+    Caller,
+    Deployment,
+    StreamedAnswer,
+    post_control,
+    read_json,
+    wait_until,
+)
+
+STOPPED_WITHIN_S = 30
+LONG = "summarise the session tokens=400"
+
+
+@pytest.fixture(autouse=True)
+def fleet(deployment: Deployment) -> None:
+    start_fleet(deployment)
+
+
+def roster(deployment: Deployment) -> set[str]:
+    rows = read_json(deployment.platform_url, "/dump?prefix=roster/")
+    return {key.removeprefix("roster/") for key in rows}
+
+
+def test_a_stream_under_way_ends_whole(deployment: Deployment) -> None:
+    seen: list[StreamedAnswer] = []
+    caller = caller_of(deployment, "entry-1")
+    task = gevent.spawn(caller.stream, "quick", LONG, on_text=seen.append)
+    wait_until(lambda: seen and seen[-1].text, "the stream has begun")
+    process = deployment.daemons["entry-1"].process
+    process.terminate()
+    answer = task.get()
+    assert isinstance(answer, StreamedAnswer)
+    assert answer.is_done
+    assert answer.text == expected_text(LONG)
+    assert process.wait(STOPPED_WITHIN_S) == 0
+    assert roster(deployment) == {"entry-2", "entry-3"}
+
+
+def test_callers_are_told_where_to_go(deployment: Deployment) -> None:
+    daemon = deployment.daemons["entry-1"]
+    task = gevent.spawn(caller_of(deployment, "entry-1").stream, "quick", LONG)
+    wait_until(
+        lambda: deployment.operate(daemon, "GET", "/v1/status")["under_way"],
+        "the stream has begun",
+    )
+    daemon.process.terminate()
+    other = caller_of(deployment, "entry-2")
+    wait_until(
+        lambda: daemon.caller_url not in other.entries(),
+        "entry-1 is absent from the entries",
+    )
+    # Whoever kept an old answer is served, and later told where to go.
+    ends: list[Answer] = []
+
+    def ask() -> bool:
+        ends.append(caller_of(deployment, "entry-1").submit("quick", "x"))
+        return ends[-1].status != 200
+
+    wait_until(ask, "entry-1 takes no more requests")
+    assert all(end.body == expected_text("x") for end in ends[:-1])
+    assert ends[-1].reason == "stopping"
+    assert b"entries" in ends[-1].body
+    answer = task.get()
+    assert isinstance(answer, StreamedAnswer) and answer.is_done
+
+
+def test_the_table_is_down_during_the_stop(deployment: Deployment) -> None:
+    caller = caller_of(deployment, "entry-1")
+    task = gevent.spawn(caller.stream, "quick", LONG)
+    gevent.sleep(0.3)
+    post_control(deployment.platform_url, down=True)
+    process = deployment.daemons["entry-1"].process
+    process.terminate()
+    answer = task.get()
+    assert isinstance(answer, StreamedAnswer) and answer.is_done
+    assert process.wait(STOPPED_WITHIN_S) == 0
+    post_control(deployment.platform_url, down=False)
+    # It could not leave the roster by itself; the platform's list says that it is gone.
+    assert "entry-1" in roster(deployment)
+    deployment.list_vms(absent=["entry-1"])
+    wait_until(lambda: "entry-1" not in roster(deployment), "entry-1 left the roster")
+
+
+def test_a_reservation_under_way_is_answered_and_stored(
+    deployment: Deployment,
+) -> None:
+    service = deployment.endpoints["reservations-1"].url
+    post_control(service, delay_s=1.5)
+    caller = caller_of(deployment, "entry-1")
+    task = gevent.spawn(caller.submit, "reserve", "booth 7", key="k")
+    wait_until(
+        lambda: read_json(deployment.platform_url, "/dump?prefix=claim/"),
+        "the claim is in the table",
+    )
+    process = deployment.daemons["entry-1"].process
+    process.terminate()
+    first = task.get()
+    assert first.outcome == "done"
+    assert process.wait(STOPPED_WITHIN_S) == 0
+    again = caller_of(deployment, "entry-2").submit("reserve", "booth 7", key="k")
+    assert (again.outcome, again.body) == ("done", first.body)
+    assert len(read_json(service, "/record")) == 1
+
+
+def test_all_vms_are_replaced_one_by_one_under_load(deployment: Deployment) -> None:
+    load = Load(deployment)
+    tasks = [gevent.spawn(load.run, number) for number in range(6)]
+    for number in (1, 2, 3):
+        old = deployment.daemons.pop(f"entry-{number}")
+        new = deployment.start_daemon(f"entry-{number + 3}", "vest")
+        deployment.list_vms()
+        deployment.wait_serving(len(deployment.daemons))
+        load.url = new.caller_url
+        old.process.terminate()
+        assert old.process.wait(STOPPED_WITHIN_S) == 0
+    load.is_over = True
+    gevent.joinall(tasks)
+    assert load.faults == []
+    assert load.answers > 20
+    assert roster(deployment) == {"entry-4", "entry-5", "entry-6"}
+
+
+class Load:
+    """Callers that ask which entry to use and check every answer."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.url = deployment.daemons["entry-1"].caller_url
+        self.is_over = False
+        self.answers = 0
+        self.faults: list[object] = []
+
+    def run(self, number: int) -> None:
+        """Ask one question after another; each must be answered whole."""
+        turn = 0
+        while not self.is_over:
+            turn += 1
+            entry = Caller(self.url, STUDIO).entries()[0]
+            text = f"question {number} {turn} tokens=60"
+            answer = Caller(entry, STUDIO).stream("quick", text)
+            is_whole = isinstance(answer, StreamedAnswer) and answer.is_done
+            if is_whole and answer.text == expected_text(text):  # type: ignore[union-attr]
+                self.answers += 1
+            else:
+                self.faults.append(answer)
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,110 @@
+"""Many failures at once, and what callers see after them."""
+
+from __future__ import annotations
+
+import pytest
+from fleets import STUDIO, caller_of, expected_text, start_fleet
+
+from sapphirehoist.testing import (
+    Caller,
+    Deployment,
+    post_control,
+    read_json,
+    wait_until,
+)
+
+
+@pytest.fixture(autouse=True)
+def fleet(deployment: Deployment) -> None:
+    start_fleet(deployment, daemons=4)
+
+
+def entries_at(deployment: Deployment, vm: str) -> set[str]:
+    return set(caller_of(deployment, vm).entries())
+
+
+def urls(deployment: Deployment, *vms: str) -> set[str]:
+    return {deployment.daemons[vm].caller_url for vm in vms}
+
+
+def test_half_of_the_vms_are_killed_at_once(deployment: Deployment) -> None:
+    for vm in ("entry-1", "entry-2"):
+        deployment.daemons[vm].process.kill()
+    left = urls(deployment, "entry-3", "entry-4")
+    wait_until(
+        lambda: entries_at(deployment, "entry-3") == left, "the dead are not entries"
+    )
+    for number in range(10):
+        text = f"question {number}"
+        answer = caller_of(deployment, f"entry-{3 + number % 2}").submit("quick", text)
+        assert answer.body == expected_text(text)
+    for vm in ("entry-1", "entry-2"):
+        deployment.restart_daemon(vm)
+    deployment.wait_serving(4)
+    assert len(entries_at(deployment, "entry-1")) == 4
+
+
+def test_the_table_is_down_and_half_are_killed(deployment: Deployment) -> None:
+    post_control(deployment.platform_url, down=True)
+    for vm in ("entry-1", "entry-2"):
+        deployment.daemons[vm].process.kill()
+    answer = caller_of(deployment, "entry-3").submit("quick", "x")
+    assert answer.body == expected_text("x")
+    refused = caller_of(deployment, "entry-3").submit("reserve", "booth 7", key="k")
+    assert (refused.outcome, refused.reason) == ("not_run", "store_unavailable")
+    for vm in ("entry-1", "entry-2"):
+        deployment.restart_daemon(vm)
+    deployment.wait_serving(4)
+    post_control(deployment.platform_url, down=False)
+    done = caller_of(deployment, "entry-1").submit("reserve", "booth 7", key="k")
+    assert done.outcome == "done"
+    record = read_json(deployment.endpoints["reservations-1"].url, "/record")
+    assert len(record) == 1
+
+
+def test_an_engine_is_killed_under_way(deployment: Deployment) -> None:
+    deployment.stand_ins["engine-1"].kill()
+    for number in range(20):
+        text = f"question {number}"
+        answer = caller_of(deployment, f"entry-{1 + number % 4}").submit("quick", text)
+        assert answer.body == expected_text(text)
+
+
+def test_a_frozen_vm_comes_back(deployment: Deployment) -> None:
+    process = deployment.daemons["entry-1"].process
+    process.freeze()
+    others = urls(deployment, "entry-2", "entry-3", "entry-4")
+    wait_until(
+        lambda: entries_at(deployment, "entry-2") == others, "the frozen is no entry"
+    )
+    process.thaw()
+    every = others | urls(deployment, "entry-1")
+    wait_until(lambda: entries_at(deployment, "entry-2") == every, "it is back")
+    assert Caller(deployment.daemons["entry-1"].caller_url, STUDIO).submit(
+        "quick", "x"
+    ).body == expected_text("x")
+
+
+def test_an_endpoint_says_that_it_leaves(deployment: Deployment) -> None:
+    """Work goes elsewhere once any node has met the refusal; none is lost."""
+    url = deployment.endpoints["engine-1"].url
+    post_control(url, leaving=True)
+    for number in range(8):
+        answer = caller_of(deployment, "entry-1").submit("quick", f"question {number}")
+        assert answer.status == 200
+    for vm, daemon in deployment.daemons.items():
+        wait_until(
+            lambda d=daemon: (
+                "engine-1"
+                in deployment.operate(d, "GET", "/v1/status")["leaving_endpoints"]
+            ),
+            f"{vm} knows that engine-1 is leaving",
+        )
+    post_control(url, leaving=False)  # a refusal would now show as an execution
+    before = len(read_json(url, "/record"))
+    for number in range(8):
+        vm = f"entry-{1 + number % 4}"
+        assert (
+            caller_of(deployment, vm).submit("quick", f"later {number}").status == 200
+        )
+    assert len(read_json(url, "/record")) == before
