--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -6,6 +6,11 @@
 from typing import Any
 
 import json5
+from decisions import (
+    ENGINE_CAPACITY,
+    ENGINES_BY_REGION,
+    CaseResult,
+)
 from entry_cost import TOKENS_PER_S, EntryCost
 
 _BOUNDS: dict[str, Any] = json5.loads(
@@ -38,3 +43,73 @@
         if figure > most[name]:
             missed.append(line)
     return missed
+
+
+def check_decisions(results: list[CaseResult]) -> list[str]:
+    """Print a table of all results; return the lines of the bounds missed."""
+    _print_results(results)
+    ours = {r.case: r for r in results if r.policy == "sapphirehoist"}
+    missed = []
+    for case, result in ours.items():
+        others = [r for r in results if r.case == case and r is not result]
+        missed += _check_case(result)
+        missed += _check_beside(result, others)
+    return missed
+
+
+def _check_case(result: CaseResult) -> list[str]:
+    bounds = _BOUNDS["decisions"]
+    missed = []
+    if result.retries > bounds["retry_share"] * result.calls:
+        missed.append(
+            f"{result.case}: {result.retries} retries of {result.calls} calls"
+        )
+    if result.refusal_p99_ms > bounds["refusal_p99_ms"]:
+        missed.append(f"{result.case}: refusals took {result.refusal_p99_ms:.0f} ms")
+    if result.case == "steady_70":
+        for work, share in result.attainment.items():
+            if share < bounds["attainment_at_70"]:
+                missed.append(f"steady_70: {work} met {share:.3f}")
+        if result.cross_region_bytes:
+            missed.append(
+                f"steady_70: {result.cross_region_bytes} bytes left the region"
+            )
+    if result.case == "steady_200":
+        part = result.goodput_s / (sum(ENGINES_BY_REGION) * ENGINE_CAPACITY)
+        print(f"steady_200: useful work {part:.3f} of capacity")
+        if part < bounds["useful_work_at_200"]:
+            missed.append(f"steady_200: useful work {part:.3f} of capacity")
+    if result.case == "team_burst":
+        for team, share in result.team_attainment.items():
+            if team != "west" and share < bounds["other_teams_in_a_burst"]:
+                missed.append(f"team_burst: team {team} met {share:.3f}")
+    return missed
+
+
+def _check_beside(result: CaseResult, others: list[CaseResult]) -> list[str]:
+    if not others:
+        return []
+    best = max(others, key=lambda other: other.offered_attainment)
+    if result.offered_attainment >= best.offered_attainment:
+        return []
+    return [
+        f"{result.case}: met {result.offered_attainment:.3f} of all, "
+        f"{best.policy} met {best.offered_attainment:.3f}"
+    ]
+
+
+def _print_results(results: list[CaseResult]) -> None:
+    print(
+        f"{'case':13} {'policy':16} {'offered':>7} {'refused':>7} {'met':>5} "
+        f"{'of all':>6} {'of adm':>6} {'quick':>6} {'long':>6} {'refusal':>8} "
+        f"{'retries':>7} {'x-region':>8} {'busy s':>7}  teams"
+    )
+    for r in sorted(results, key=lambda r: r.case):
+        teams = " ".join(f"{share:.2f}" for share in r.team_attainment.values())
+        print(
+            f"{r.case:13} {r.policy:16} {r.offered:7} {r.refused:7} {r.met:5} "
+            f"{r.offered_attainment:6.3f} {r.admitted_attainment:6.3f} "
+            f"{r.attainment['quick']:6.3f} {r.attainment['long']:6.3f} "
+            f"{r.refusal_p99_ms:6.0f}ms {r.retries:7} {r.cross_region_bytes:8} "
+            f"{r.busy_s:7.1f}  {teams}"
+        )
