Predict by urgency, learn speed from calls that had room, share by demand

Change: speed is learned only from calls that were expected to run at once; predictions use local endpoints and others that have answered, whose reports do not fade there; reports are smoothed by their age; shares are max-min over the demand of the last seconds; engines serve the least slack first, in tenths of a second, and a prediction counts only the part of the load that is at least as urgent.

--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -13,6 +13,7 @@
 )
 from entry_cost import TOKENS_PER_S, EntryCost
 
+_SLOTS = sum(ENGINES_BY_REGION) * ENGINE_CAPACITY
 _BOUNDS: dict[str, Any] = json5.loads(
     Path(__file__).with_name("bounds.jsonc").read_text()
 )
@@ -75,7 +76,7 @@
                 f"steady_70: {result.cross_region_bytes} bytes left the region"
             )
     if result.case == "steady_200":
-        part = result.goodput_s / (sum(ENGINES_BY_REGION) * ENGINE_CAPACITY)
+        part = result.goodput_s / _SLOTS
         print(f"steady_200: useful work {part:.3f} of capacity")
         if part < bounds["useful_work_at_200"]:
             missed.append(f"steady_200: useful work {part:.3f} of capacity")
@@ -102,7 +103,7 @@
     print(
         f"{'case':13} {'policy':16} {'offered':>7} {'refused':>7} {'met':>5} "
         f"{'of all':>6} {'of adm':>6} {'quick':>6} {'long':>6} {'refusal':>8} "
-        f"{'retries':>7} {'x-region':>8} {'busy s':>7}  teams"
+        f"{'retries':>7} {'x-region':>8} {'busy s':>7} {'useful':>6}  teams"
     )
     for r in sorted(results, key=lambda r: r.case):
         teams = " ".join(f"{share:.2f}" for share in r.team_attainment.values())
@@ -111,5 +112,5 @@
             f"{r.offered_attainment:6.3f} {r.admitted_attainment:6.3f} "
             f"{r.attainment['quick']:6.3f} {r.attainment['long']:6.3f} "
             f"{r.refusal_p99_ms:6.0f}ms {r.retries:7} {r.cross_region_bytes:8} "
-            f"{r.busy_s:7.1f}  {teams}"
+            f"{r.busy_s:7.1f} {r.goodput_s / _SLOTS:6.3f}  {teams}"
         )
--- a/bench/run.py
+++ b/bench/run.py
@@ -13,7 +13,6 @@
 from decisions import POLICIES, CaseResult, make_cases, run_policy  # noqa: E402
 from entry_cost import measure_entry_cost  # noqa: E402
 
-
 # Baselines run in these cases only, so that the whole stays under five minutes.
 _BASELINE_CASES = {"steady_200", "slow_engine", "half_pool"}
 
@@ -22,25 +21,27 @@
     """Run the chosen cases; return 1 if any bound is missed."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--case", default="all")
-    case = parser.parse_args().case
+    parser.add_argument("--policy", default="all", choices=["all", *POLICIES])
+    arguments = parser.parse_args()
+    case = arguments.case
     missed: list[str] = []
-    if case in ("all", "entry_cost"):
+    if case == "entry_cost" or (case == "all" and arguments.policy == "all"):
         missed += check_entry_cost(measure_entry_cost())
     if case != "entry_cost":
-        missed += check_decisions(_run_decisions(case))
+        missed += check_decisions(_run_decisions(case, arguments.policy))
     for line in missed:
         print(f"MISSED {line}")
     return 1 if missed else 0
 
 
-def _run_decisions(case: str) -> list[CaseResult]:
+def _run_decisions(case: str, only: str) -> list[CaseResult]:
     """Run one case with every policy, or all cases with ours and some with others."""
     every = {c.name for c in make_cases()} - {"warm"}
     if case != "all" and case not in every:
         allowed = ", ".join(sorted(every | {"all", "entry_cost"}))
         sys.exit(f"--case: {case!r} is unknown; allowed: {allowed}")
     results = []
-    for policy in POLICIES:
+    for policy in POLICIES if only == "all" else [only]:
         is_ours = policy == "sapphirehoist"
         chosen = {case} if case != "all" else every if is_ours else _BASELINE_CASES
         results += run_policy(policy, chosen)
--- a/libs/decisions/sapphirehoist/decisions/limits.py
+++ b/libs/decisions/sapphirehoist/decisions/limits.py
@@ -1,13 +1,20 @@
 """Weighted max-min shares of this node's work among teams.
 
 A share that a team does not use is lent to the others. A team is over its share only
-if it holds more than its weighted max-min part of the work under way; nobody is held
-back while there is room for all.
+if it asks for more than its weighted max-min part of the work that is taken; nobody is
+held back while there is room for all.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass
+
+from sapphirehoist.clock import Clock
+
+_HALF_LIFE_S = 2.0
+_FORGOTTEN = 1e-3
+_TOLERANCE = 1.02
 
 
 def max_min_shares(
@@ -18,7 +25,7 @@
     Parameters
     ----------
     demands, weights : mapping of str to float
-        Demand and entitlement of each team.
+        Demand and entitlement of each team; a weight that is absent is 1.
     capacity : float
         What is divided, in the unit of the demands.
 
@@ -27,16 +34,17 @@
     >>> max_min_shares({"a": 1, "b": 9, "c": 9}, {"a": 1, "b": 1, "c": 1}, 9)
     {'a': 1, 'b': 4.0, 'c': 4.0}
     """
+    weight_of = {team: weights.get(team, 1.0) for team in demands}
     shares: dict[str, float] = {}
-    open_teams = sorted(demands, key=lambda team: demands[team] / weights[team])
+    open_teams = sorted(demands, key=lambda team: demands[team] / weight_of[team])
     left = capacity
     while open_teams:
-        weight = sum(weights[team] for team in open_teams)
+        weight = sum(weight_of[team] for team in open_teams)
         team = open_teams[0]
-        fair = left * weights[team] / weight
+        fair = left * weight_of[team] / weight
         if demands[team] > fair:
             for other in open_teams:
-                shares[other] = left * weights[other] / weight
+                shares[other] = left * weight_of[other] / weight
             return shares
         shares[team] = demands[team]
         left -= demands[team]
@@ -44,60 +52,73 @@
     return shares
 
 
+@dataclass(slots=True)
+class _Rate:
+    """Exponentially fading sums of the work that a team asked for and got."""
+
+    asked: float = 0.0
+    taken: float = 0.0
+    updated_at: float = 0.0
+
+    def fade(self, now: float) -> None:
+        factor = 0.5 ** ((now - self.updated_at) / _HALF_LIFE_S)
+        self.asked *= factor
+        self.taken *= factor
+        self.updated_at = now
+
+
 class TeamShares:
-    """Work under way by team, and the demand that peers report.
+    """Work that teams asked for lately, and what of it was taken.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic time, by which old work fades.
 
     Examples
     --------
-    >>> shares = TeamShares()
-    >>> shares.begin("large"); shares.begin("large"); shares.begin("small")
-    >>> shares.is_over_share("large", {"large": 1.0, "small": 1.0})
-    True
-    >>> shares.is_over_share("small", {"large": 1.0, "small": 1.0})
-    False
+    >>> from sapphirehoist.clock import ManualClock
+    >>> shares = TeamShares(ManualClock())
+    >>> for _ in range(8):
+    ...     shares.ask("large", 1.0)
+    >>> shares.ask("small", 1.0)
+    >>> for _ in range(4):
+    ...     shares.take("large", 1.0)
+    >>> shares.is_over_share("large", {}), shares.is_over_share("small", {})
+    (True, False)
     """
 
-    __slots__ = ("_in_flight", "_peers")
-
-    def __init__(self) -> None:
-        self._in_flight: dict[str, int] = {}
-        self._peers: dict[str, dict[str, int]] = {}
-
-    def begin(self, team: str) -> None:
-        """Count a request of `team` that was admitted."""
-        self._in_flight[team] = self._in_flight.get(team, 0) + 1
+    __slots__ = ("_clock", "_rates")
 
-    def end(self, team: str) -> None:
-        """Count the end of a request of `team`."""
-        left = self._in_flight[team] - 1
-        if left:
-            self._in_flight[team] = left
-        else:
-            del self._in_flight[team]
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._rates: dict[str, _Rate] = {}
 
-    def in_flight(self) -> dict[str, int]:
-        """Return this node's requests under way by team."""
-        return dict(self._in_flight)
+    def ask(self, team: str, work: float) -> None:
+        """Count a request of `team` for `work`, whether or not it is taken."""
+        self._rate(team).asked += work
 
-    def report_peer(self, vm: str, in_flight: dict[str, int]) -> None:
-        """Take a peer's requests under way by team; empty forgets the peer."""
-        if in_flight:
-            self._peers[vm] = in_flight
-        else:
-            self._peers.pop(vm, None)
+    def take(self, team: str, work: float) -> None:
+        """Count that the request was taken."""
+        self._rate(team).taken += work
 
     def is_over_share(self, team: str, weights: Mapping[str, float]) -> bool:
-        """Return whether `team` holds more than its part of all known work."""
-        held = self._totals()
-        total = sum(held.values())
-        weight = sum(weights.get(other, 1.0) for other in held)
-        if len(held) < 2 or team not in held or not weight:
+        """Return whether `team` asks for more than its part of what is taken."""
+        now = self._clock.monotonic()
+        for rate in self._rates.values():
+            rate.fade(now)
+        self._rates = {t: r for t, r in self._rates.items() if r.asked > _FORGOTTEN}
+        if team not in self._rates:
             return False
-        return held[team] > total * weights.get(team, 1.0) / weight
-
-    def _totals(self) -> dict[str, int]:
-        totals = dict(self._in_flight)
-        for reported in self._peers.values():
-            for team, count in reported.items():
-                totals[team] = totals.get(team, 0) + count
-        return totals
+        demands = {name: rate.asked for name, rate in self._rates.items()}
+        taken = sum(rate.taken for rate in self._rates.values())
+        share = max_min_shares(demands, weights, taken)[team]
+        return demands[team] > _TOLERANCE * share
+
+    def _rate(self, team: str) -> _Rate:
+        now = self._clock.monotonic()
+        rate = self._rates.get(team)
+        if rate is None:
+            rate = self._rates[team] = _Rate(updated_at=now)
+        rate.fade(now)
+        return rate
--- a/libs/decisions/sapphirehoist/decisions/load.py
+++ b/libs/decisions/sapphirehoist/decisions/load.py
@@ -1,17 +1,20 @@
 """What a node knows of each endpoint's load, speed and health.
 
-A load report counts the calls of all nodes but is old when it arrives. It is corrected
-by this node's own calls since then and fades into this node's own count with age.
+A load report counts the calls of all nodes but is old when it arrives. What it says of
+other nodes' calls is smoothed, fades with age, and is added to this node's own count.
+The speed of an endpoint is learned from calls that were expected to run at once.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import exp
 from statistics import median
 
 from sapphirehoist.clock import Clock
 
 _SMOOTHING = 0.2
+_REPORT_SMOOTHING_S = 0.5
 _REPORT_HALF_LIFE_S = 5.0
 _FAILURES_TO_EJECT = 3
 _EJECTION_FIRST_S = 2.0
@@ -30,11 +33,11 @@
     in_flight : int
         This node's own calls under way.
     reported : float
-        Calls of all nodes at the time of the last report, less this node's own.
+        Smoothed calls of the other nodes.
     reported_at : float
         Monotonic time of the last report.
     seconds_per_unit : float
-        Smoothed time for one unit of work, without queueing where that is known.
+        Smoothed time for one unit of work without queueing.
     samples : int
         Answers that `seconds_per_unit` was learned from.
     failures : int
@@ -88,6 +91,11 @@
         weight = 0.5 ** (age_s / _REPORT_HALF_LIFE_S)
         return load.in_flight + load.reported * weight
 
+    def last_known_load(self, endpoint: str) -> float:
+        """Return the load as last reported, however old, with own calls since."""
+        load = self.get(endpoint)
+        return load.in_flight + load.reported
+
     def begin(self, endpoint: str) -> None:
         """Count a call that leaves for `endpoint`."""
         self.get(endpoint).in_flight += 1
@@ -99,14 +107,34 @@
     def report(self, endpoint: str, total: int) -> None:
         """Take a report of the calls that all nodes have at `endpoint`."""
         load = self.get(endpoint)
-        load.reported = max(0.0, total - load.in_flight)
-        load.reported_at = self._clock.monotonic()
-
-    def succeed(self, endpoint: str, seconds: float, units: float) -> None:
-        """Learn from an answer that took `seconds` for `units` of work."""
+        others = max(0.0, total - load.in_flight)
+        now = self._clock.monotonic()
+        weight = 1.0 - exp(-(now - load.reported_at) / _REPORT_SMOOTHING_S)
+        load.reported += weight * (others - load.reported)
+        load.reported_at = now
+
+    def succeed(
+        self, endpoint: str, seconds: float, units: float, had_room: bool = True
+    ) -> None:
+        """Learn from an answer.
+
+        Parameters
+        ----------
+        endpoint : str
+            Who answered.
+        seconds : float
+            Time from the call to the answer.
+        units : float
+            Work of the call.
+        had_room : bool
+            Whether the call was expected to run at once. One that queued says nothing
+            of the endpoint's speed, unless it was faster than what is known.
+        """
         load = self.get(endpoint)
         load.failures = 0
         rate = seconds / max(units, 1.0)
+        if load.samples and not had_room:
+            rate = min(rate, load.seconds_per_unit)
         if load.samples == 0:
             load.seconds_per_unit = rate
         else:
--- a/libs/decisions/sapphirehoist/decisions/routing.py
+++ b/libs/decisions/sapphirehoist/decisions/routing.py
@@ -41,11 +41,19 @@
     in_flight: int
     seconds_per_unit: float
 
-    def predicted_s(self, units: float) -> float:
-        """Return the predicted time of a call of `units` of work, with queueing."""
-        rounds = max(1.0, (self.load + 1.0) / self.capacity)
+    def predicted_s(self, units: float, urgent_share: float = 1.0) -> float:
+        """Return the predicted time of a call of `units` of work, with queueing.
+
+        `urgent_share` is the part of the load that is served before the call.
+        """
+        rounds = max(1.0, (self.load * urgent_share + 1.0) / self.capacity)
         return self.seconds_per_unit * units * rounds
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether a call would run at once."""
+        return self.load + 1.0 <= self.capacity
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -155,7 +163,6 @@
             candidates, key=lambda c: rendezvous_score(route.prefix, c.name)
         )
         bound_s = _AFFINITY_SLACK * best.predicted_s(route.units)
-        has_room = favourite.load < favourite.capacity
-        if has_room and favourite.predicted_s(route.units) <= bound_s:
+        if favourite.has_room and favourite.predicted_s(route.units) <= bound_s:
             return favourite
         return best
--- a/libs/node/sapphirehoist/node/node.py
+++ b/libs/node/sapphirehoist/node/node.py
@@ -193,7 +193,7 @@
         settings, parts = self.settings, self._parts
         self.accounts = Accounts()
         self.loads = LoadBook(parts.clock)
-        self.shares = TeamShares()
+        self.shares = TeamShares(parts.clock)
         targets = ClassTargets()
         self.pools = EndpointPools(
             settings.vm, settings.region, self.standing, self.loads
--- a/libs/pipeline/sapphirehoist/pipeline/pools.py
+++ b/libs/pipeline/sapphirehoist/pipeline/pools.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from sapphirehoist.configuration import Catalog, Endpoint
 from sapphirehoist.decisions import Candidate, LoadBook, endpoint_subset
 from sapphirehoist.decisions.subset import SUBSET_SIZE
@@ -73,6 +75,22 @@
         healthy = [endpoint for endpoint in usable if self._is_healthy(endpoint.name)]
         return [self._candidate(endpoint) for endpoint in healthy or usable]
 
+    def known_candidates(self, pool: str) -> list[Candidate]:
+        """Return the candidates that a prediction can be based on.
+
+        Those of this node's region, and of others only if they have answered before;
+        a load report of theirs does not fade here, so that an old one is not taken for
+        an idle endpoint.
+        """
+        known = []
+        for candidate in self.candidates(pool, set()):
+            if candidate.is_local:
+                known.append(candidate)
+            elif candidate.seconds_per_unit:
+                load = self.loads.last_known_load(candidate.name)
+                known.append(replace(candidate, load=load))
+        return known
+
     def _is_healthy(self, name: str) -> bool:
         if self.loads.is_ejected(name):
             return False
--- a/libs/pipeline/sapphirehoist/pipeline/runner.py
+++ b/libs/pipeline/sapphirehoist/pipeline/runner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from sapphirehoist.claims import (
     Claim,
     ClaimKey,
@@ -59,6 +61,7 @@
         "_shares",
         "_stages",
         "_targets",
+        "_under_way",
         "entitlements",
     )
 
@@ -84,6 +87,7 @@
         self._clock = clock
         self._metrics = metrics
         self.entitlements: dict[str, float] = {}
+        self._under_way: Counter[int] = Counter()
 
     def run(self, req: WorkRequest) -> Outcome:
         """Run `req` to its end."""
@@ -108,12 +112,13 @@
         if self.needs_claim(req) and not req.idempotency_key:
             detail = "Idempotency-Key: missing; required: a stage may not be repeated"
             return NotRun(Reason.INVALID, detail)
-        loaded_s, unloaded_s = self._stages.predict_s(req)
+        prediction = self._stages.predict(req, self._urgent_share(req))
         now = self._clock.monotonic()
+        self._shares.ask(req.team.name, prediction.unloaded_s)
         query = AdmissionQuery(
             req.work.name,
-            loaded_s,
-            unloaded_s,
+            prediction.loaded_s,
+            prediction.unloaded_s,
             req.work.target_ms / 1000,
             req.deadline - now,
             self._shares.is_over_share(req.team.name, self.entitlements),
@@ -125,12 +130,13 @@
             reason = Reason.TEAM_LIMIT if is_limit else Reason.OVERLOADED
             return NotRun(reason, decision.detail, decision.retry_after_s)
         self._accounts.of_class(req.work.name).admitted += 1
-        self._shares.begin(req.team.name)
+        self._shares.take(req.team.name, prediction.unloaded_s)
+        self._under_way[req.work.target_ms] += 1
         return None
 
     def finish(self, req: WorkRequest, outcome: Outcome) -> None:
         """Count the end of an admitted request."""
-        self._shares.end(req.team.name)
+        self._under_way[req.work.target_ms] -= 1
         seconds = self._clock.monotonic() - req.started_at
         is_met = isinstance(outcome, Done) and seconds <= req.work.target_ms / 1000
         self._targets.observe(req.work.name, is_met, req.work.attainment)
@@ -141,6 +147,18 @@
             "request_seconds", seconds, work=req.work.name, outcome=kind
         )
 
+    def _urgent_share(self, req: WorkRequest) -> float:
+        """Return the part of the work under way whose target is as tight as this one.
+
+        Engines serve the least slack first, so the rest does not delay this request.
+        """
+        total = self._under_way.total()
+        if not total:
+            return 1.0
+        target_ms = req.work.target_ms
+        urgent = sum(n for ms, n in self._under_way.items() if ms <= target_ms)
+        return urgent / total
+
     def needs_claim(self, req: WorkRequest) -> bool:
         """Return whether a stage of `req` may not be repeated."""
         return not all(
--- a/libs/pipeline/sapphirehoist/pipeline/stages.py
+++ b/libs/pipeline/sapphirehoist/pipeline/stages.py
@@ -34,7 +34,8 @@
 from sapphirehoist.pipeline.pools import EndpointPools
 from sapphirehoist.pipeline.request import WorkRequest
 
-_PRIORITIES = 10
+_SLACK_UNITS_PER_S = 10
+_LOWEST_PRIORITY = 99
 
 A = TypeVar("A", Answered, Stream)
 
@@ -49,10 +50,19 @@
 
 @dataclass(frozen=True, slots=True)
 class StageOpened:
-    """An open stream of the last stage."""
+    """An open stream of the last stage.
+
+    Attributes
+    ----------
+    stream, endpoint : Stream, Endpoint
+        The stream and the engine that makes it.
+    had_room : bool
+        Whether the call was expected to run at once.
+    """
 
     stream: Stream
     endpoint: Endpoint
+    had_room: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +81,14 @@
     timeline: Timeline
 
 
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """Predicted time of a request, in seconds, with and without queueing."""
+
+    loaded_s: float
+    unloaded_s: float
+
+
 class StageRunner:
     """Runs stages of requests.
 
@@ -90,7 +108,7 @@
         client = self._parts.client
         ended = self._attempt(req, stage, body, client.call)
         if isinstance(ended, _Succeeded):
-            return StageDone(ended.answer.body, ended.endpoint)
+            return StageDone(ended.answer.body, ended.chosen.endpoint)
         return ended
 
     def open_stream(
@@ -100,7 +118,9 @@
         client = self._parts.client
         ended = self._attempt(req, stage, body, client.open_stream)
         if isinstance(ended, _Succeeded):
-            return StageOpened(ended.answer, ended.endpoint)
+            return StageOpened(
+                ended.answer, ended.chosen.endpoint, ended.chosen.had_room
+            )
         return ended
 
     def learn_stream_end(
@@ -114,20 +134,27 @@
         """Learn from a stream that ended; it was in flight until now."""
         self._parts.pools.loads.end(opened.endpoint.name)
         if size:
-            self._learn_success(req, stage, opened.endpoint, seconds, size)
-
-    def predict_s(self, req: WorkRequest) -> tuple[float, float]:
-        """Return the predicted time of all stages, with and without queueing."""
+            chosen = _Chosen(opened.endpoint, opened.had_room)
+            self._learn_success(req, stage, chosen, seconds, size)
+
+    def predict(self, req: WorkRequest, urgent_share: float) -> Prediction:
+        """Predict the time of all stages.
+
+        Parameters
+        ----------
+        req : WorkRequest
+            The request.
+        urgent_share : float
+            Part of the work under way that engines serve before this request.
+        """
         loaded_s = unloaded_s = 0.0
         for stage in req.pipeline.stages:
             units = self._units(req, stage)
-            candidates = self._parts.pools.candidates(stage.pool, set())
-            if not candidates:
-                continue
-            loaded_s += min(c.predicted_s(units) for c in candidates)
-            known = [c.seconds_per_unit for c in candidates if c.seconds_per_unit]
-            unloaded_s += min(known, default=0.0) * units
-        return loaded_s, unloaded_s
+            known = self._parts.pools.known_candidates(stage.pool)
+            if known:
+                loaded_s += min(c.predicted_s(units, urgent_share) for c in known)
+                unloaded_s += min(c.seconds_per_unit for c in known) * units
+        return Prediction(loaded_s, unloaded_s)
 
     def _attempt(
         self,
@@ -145,8 +172,8 @@
             remaining_s = req.deadline - self._parts.clock.monotonic()
             if remaining_s <= 0:
                 return self._end_unanswered(req, Reason.DEADLINE, "the deadline passed")
-            endpoint = self._choose(req, stage, tried)
-            if endpoint is None:
+            chosen = self._choose(req, stage, tried)
+            if chosen is None:
                 detail = (
                     f"stage {stage.name}: no endpoint of pool {stage.pool!r} is left"
                 )
@@ -155,17 +182,17 @@
                 detail = f"stage {stage.name}: the claim is too old to send"
                 return self._end_unanswered(req, Reason.CLAIM_EXPIRED, detail)
             call = self._call_of(req, stage, body, attempt, remaining_s)
-            answer = self._send(req, stage, endpoint, call, send)
+            answer = self._send(req, stage, chosen, call, send)
             if isinstance(answer, Answered | Stream):
                 self._parts.retry.count_success()
-                return _Succeeded(answer, endpoint)
-            self._learn_failure(stage, endpoint, answer)
+                return _Succeeded(answer, chosen)
+            self._learn_failure(stage, chosen.endpoint, answer)
             failure = _failure_of(answer)
             if not may_repeat:
                 return self._end_unrepeatable(req, answer)
             if self._parts.retry.decide(failure, attempt) is Action.GIVE_UP:
                 return self._give_up(req, answer)
-            tried.add(endpoint.name)
+            tried.add(chosen.endpoint.name)
             self._parts.accounts.of_stage(stage.name).retries += 1
             self._parts.metrics.count(
                 "retries_total", stage=stage.name, failure=failure.value
@@ -175,11 +202,11 @@
         self,
         req: WorkRequest,
         stage: Stage,
-        endpoint: Endpoint,
+        chosen: _Chosen,
         call: StageCall,
         send: Callable[[Endpoint, StageCall], A | NotSent | Refused | Lost | TimedOut],
     ) -> A | NotSent | Refused | Lost | TimedOut:
-        parts = self._parts
+        parts, endpoint = self._parts, chosen.endpoint
         account = parts.accounts.of_stage(stage.name)
         account.calls += 1
         parts.pools.loads.begin(endpoint.name)
@@ -193,7 +220,7 @@
         if not isinstance(answer, Stream):
             parts.pools.loads.end(endpoint.name)
         if isinstance(answer, Answered):
-            self._learn_success(req, stage, endpoint, seconds, len(answer.body))
+            self._learn_success(req, stage, chosen, seconds, len(answer.body))
         if not isinstance(answer, NotSent):
             account.cross_region_bytes += parts.pools.cross_region_bytes(
                 endpoint, len(call.body)
@@ -204,7 +231,7 @@
 
     def _choose(
         self, req: WorkRequest, stage: Stage, tried: set[str]
-    ) -> Endpoint | None:
+    ) -> _Chosen | None:
         parts = self._parts
         candidates = parts.pools.candidates(stage.pool, tried)
         if not candidates:
@@ -213,7 +240,10 @@
         slack_s = max(0.0, req.work.target_ms / 1000 - used_s)
         prefix = req.prefix() if stage.streams else ""
         route = Route(self._units(req, stage), slack_s, prefix)
-        return parts.pools.get(parts.routing.choose(route, candidates).name)
+        candidate = parts.routing.choose(route, candidates)
+        endpoint = parts.pools.get(candidate.name)
+        assert endpoint is not None, candidate
+        return _Chosen(endpoint, candidate.has_room)
 
     def _call_of(
         self,
@@ -223,9 +253,9 @@
         attempt: int,
         remaining_s: float,
     ) -> StageCall:
-        target_s = req.work.target_ms / 1000
-        slack_s = req.started_at + target_s - self._parts.clock.monotonic()
-        level = int(_PRIORITIES * slack_s / target_s)
+        due = req.started_at + req.work.target_ms / 1000
+        slack_s = due - self._parts.clock.monotonic()
+        priority = int(_SLACK_UNITS_PER_S * slack_s)
         return StageCall(
             req.request_id,
             stage.name,
@@ -233,7 +263,7 @@
             req.team.name,
             body,
             remaining_s,
-            min(max(level, 0), _PRIORITIES - 1),
+            min(max(priority, 0), _LOWEST_PRIORITY),
             req.idempotency_key,
         )
 
@@ -252,18 +282,18 @@
         self,
         req: WorkRequest,
         stage: Stage,
-        endpoint: Endpoint,
+        chosen: _Chosen,
         seconds: float,
         size: int,
     ) -> None:
-        parts = self._parts
+        parts, endpoint = self._parts, chosen.endpoint
         account = parts.accounts.of_stage(stage.name)
         account.busy_s += seconds
         account.bytes_out += size
         account.cross_region_bytes += parts.pools.cross_region_bytes(endpoint, size)
         units = float(max(size, 1))
         parts.targets.observe_units(req.work.name, stage.name, units)
-        parts.pools.loads.succeed(endpoint.name, seconds, units)
+        parts.pools.loads.succeed(endpoint.name, seconds, units, chosen.had_room)
         parts.metrics.observe_latency(
             "stage_seconds", seconds, stage=stage.name, work=req.work.name
         )
@@ -316,10 +346,18 @@
         return Unknown(Reason.CONNECTION_LOST, answer.detail)
 
 
+@dataclass(frozen=True, slots=True)
+class _Chosen:
+    """The endpoint of an attempt, and whether the call should run at once there."""
+
+    endpoint: Endpoint
+    had_room: bool
+
+
 @dataclass(frozen=True, slots=True)
 class _Succeeded(Generic[A]):
     answer: A
-    endpoint: Endpoint
+    chosen: _Chosen
 
 
 def _failure_of(answer: NotSent | Refused | Lost | TimedOut) -> Failure:
--- a/libs/pipeline/sapphirehoist/pipeline/streams.py
+++ b/libs/pipeline/sapphirehoist/pipeline/streams.py
@@ -87,11 +87,16 @@
     stream: Stream
     offset: int
     deadline: float
-    size: int = 0
     last_block: bytes = b""
     is_complete: bool = False
     is_taken: bool = False
 
+    def note_offset(self) -> None:
+        """Take the offset behind the last event that was passed on."""
+        ids = _EVENT_ID.findall(self.last_block)
+        if ids:
+            self.offset = int(ids[-1])
+
 
 class StreamRunner:
     """Opens and resumes streams.
@@ -228,7 +233,8 @@
         finally:
             seconds = self._clock.monotonic() - started
             stage = req.pipeline.stages[-1]
-            self._stages.learn_stream_end(req, stage, opened, seconds, flow.size)
+            flow.note_offset()
+            self._stages.learn_stream_end(req, stage, opened, seconds, flow.offset)
             self._runner.finish(req, outcome)
             self._leave(flow)
 
@@ -252,8 +258,8 @@
                 if isinstance(item, StreamBroken):
                     broken = item
                     break
-                flow.size += len(item)
-                flow.last_block = item
+                if item.startswith(b"id: "):
+                    flow.last_block = item
                 yield StreamBlock(item)
             if broken is None:
                 flow.is_complete = True
@@ -269,9 +275,7 @@
         remaining_s = flow.deadline - self._clock.monotonic()
         if remaining_s <= 0:
             return False
-        ids = _EVENT_ID.findall(flow.last_block)
-        if ids:
-            flow.offset = int(ids[-1])
+        flow.note_offset()
         resume = StreamResume(flow.stream.stream_id, flow.offset, remaining_s)
         stream = self._client.resume_stream(flow.endpoint, resume)
         if not isinstance(stream, Stream):
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,142 @@
+"""The daemon's program: settings check, event loop, TLS, scrape, signals."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import ssl
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+import urllib3
+from fleets import caller_of, start_fleet
+
+from sapphirehoist.testing import Deployment, ManagedProcess, wait_until
+from sapphirehoist.testing.deployment import OPERATOR_TOKEN
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+class TestCheck:
+    def run(self, path: Path, tmp_path: Path) -> tuple[int | None, str]:
+        log = tmp_path / "check.log"
+        arguments = ["--check", "--settings", str(path)]
+        process = ManagedProcess("sapphirehoist.daemon.main", arguments, log)
+        return process.wait(20), log.read_text()
+
+    def test_good(self, tmp_path: Path) -> None:
+        code, text = self.run(EXAMPLES / "studio.jsonc", tmp_path)
+        assert (code, text.strip().endswith("ok")) == (0, True)
+
+    def test_bad(self, tmp_path: Path) -> None:
+        path = tmp_path / "bad.jsonc"
+        path.write_text((EXAMPLES / "studio.jsonc").read_text().replace("7100", "0"))
+        code, text = self.run(path, tmp_path)
+        assert code == 2
+        assert "$.callers.port: 0 is not allowed" in text
+
+
+def test_the_event_loop_is_epoll_whatever_the_environment_says() -> None:
+    code = (
+        "from sapphirehoist.daemon.event_loop import pin_epoll\n"
+        "pin_epoll()\n"
+        "import gevent\n"
+        "print(gevent.get_hub().loop.backend)"
+    )
+    for backend in ("", "linux_iouring", "poll"):
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            text=True,
+            env={"GEVENT_BACKEND": backend} if backend else {},
+        )
+        assert done.stdout.strip() == "epoll", done.stderr
+
+
+def test_scrape_and_logs(deployment: Deployment) -> None:
+    start_fleet(deployment, daemons=1, engines=1)
+    assert caller_of(deployment, "entry-1").submit("quick", "x").status == 200
+    daemon = deployment.daemons["entry-1"]
+    resp = urllib3.request(
+        "GET",
+        daemon.operator_url + "/metrics",
+        headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+    )
+    text = resp.data.decode()
+    assert 'sapphirehoist_requests_total{outcome="Done",work="quick"} 1' in text
+    assert 'sapphirehoist_stage_seconds{stage="generate",work="quick"' in text
+    lines = [json.loads(line) for line in daemon.process.log.read_text().splitlines()]
+    assert [line["message"] for line in lines] == ["started", "joined the roster"]
+
+
+def test_tls_and_a_new_key_without_a_restart(
+    deployment: Deployment, tmp_path: Path
+) -> None:
+    certificate, key = tmp_path / "cert.pem", tmp_path / "key.pem"
+    make_certificate(certificate, key)
+
+    def use_tls(settings: dict) -> None:
+        settings["tls"] = {"certificate": str(certificate), "key": str(key)}
+
+    daemon = deployment.start_daemon("entry-1", "vest", use_tls)
+    url = daemon.caller_url.replace("http:", "https:") + "/v1/entries"
+    first = wait_until(lambda: get_certificate(url, certificate), "TLS answers")
+    old = certificate.read_text()
+    make_certificate(certificate, key)
+    daemon.process._process.send_signal(1)
+    second = wait_until(
+        lambda: get_certificate(url, certificate), "the new key is used"
+    )
+    assert certificate.read_text() != old
+    assert first != second
+
+
+def get_certificate(url: str, ca: Path) -> bytes | None:
+    """Return the server's certificate if `ca` vouches for it."""
+    context = ssl.create_default_context(cafile=str(ca))
+    context.check_hostname = False
+    with urllib3.PoolManager(ssl_context=context, retries=False) as pool:
+        try:
+            resp = pool.request(
+                "GET", url, preload_content=False, assert_same_host=False
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+        connection = resp.connection
+        assert connection is not None and connection.sock is not None
+        found = connection.sock.getpeercert(binary_form=True)
+        resp.close()
+        return found
+
+
+def make_certificate(certificate: Path, key: Path) -> None:
+    """Write a new self-signed certificate for the loopback address."""
+    pytest.importorskip("cryptography")
+    from cryptography import x509
+    from cryptography.hazmat.primitives import hashes, serialization
+    from cryptography.hazmat.primitives.asymmetric import ec
+
+    secret = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "entry-1")])
+    now = datetime.datetime.now(datetime.UTC)
+    made = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(secret.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .sign(secret, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    certificate.write_bytes(made.public_bytes(pem))
+    key.write_bytes(
+        secret.private_bytes(
+            pem,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
