Estimate the capacity that teams share by the most taken lately

Cause: shares were cut from what was taken in the last seconds; each refusal lowered it and led to more refusals, so that the largest team was held back at 70% of capacity. Change: the most that was taken, fading over 20 s, with a tenth of headroom; a team over its share keeps a tenth of the room for queueing instead of a third. Conclusion: small teams are safe; the largest, whose demand is at its share, is still below the bound, because it is judged over its share half of the time.

--- a/libs/decisions/sapphirehoist/decisions/admission.py
+++ b/libs/decisions/sapphirehoist/decisions/admission.py
@@ -8,7 +8,7 @@
 
 from sapphirehoist.decisions.targets import ClassTargets
 
-_OVER_SHARE_FACTOR = 0.3
+_OVER_SHARE_FACTOR = 0.1
 _RETRY_AFTER_LEAST_S = 0.2
 _RETRY_AFTER_MOST_S = 10.0
 
--- a/libs/decisions/sapphirehoist/decisions/limits.py
+++ b/libs/decisions/sapphirehoist/decisions/limits.py
@@ -14,7 +14,8 @@
 
 _HALF_LIFE_S = 2.0
 _FORGOTTEN = 1e-3
-_TOLERANCE = 1.02
+_HEADROOM = 1.1
+_PEAK_HALF_LIFE_S = 20.0
 
 
 def max_min_shares(
@@ -88,11 +89,13 @@
     (True, False)
     """
 
-    __slots__ = ("_clock", "_rates")
+    __slots__ = ("_clock", "_peak", "_peak_at", "_rates")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._rates: dict[str, _Rate] = {}
+        self._peak = 0.0
+        self._peak_at = clock.monotonic()
 
     def ask(self, team: str, work: float) -> None:
         """Count a request of `team` for `work`, whether or not it is taken."""
@@ -112,8 +115,19 @@
             return False
         demands = {name: rate.asked for name, rate in self._rates.items()}
         taken = sum(rate.taken for rate in self._rates.values())
-        share = max_min_shares(demands, weights, taken)[team]
-        return demands[team] > _TOLERANCE * share
+        capacity = _HEADROOM * self._peak_taken(taken, now)
+        return demands[team] > max_min_shares(demands, weights, capacity)[team]
+
+    def _peak_taken(self, taken: float, now: float) -> float:
+        """Return the most that was taken lately.
+
+        What is taken now would be too low an estimate of the capacity: each refusal
+        lowers it, and so leads to more refusals.
+        """
+        self._peak *= 0.5 ** ((now - self._peak_at) / _PEAK_HALF_LIFE_S)
+        self._peak = max(self._peak, taken)
+        self._peak_at = now
+        return self._peak
 
     def _rate(self, team: str) -> _Rate:
         now = self._clock.monotonic()
