Prove cuts between regions and freezes over processes

Cause: regions that lose each other, a frozen entry in a stream and a frozen holder of a lease were proved on a fake clock only, or not at all. Change: tests with a relay before each daemon's peer address, and with SIGSTOP until another VM holds the lease. The caller of the tests takes a time-out.

--- a/libs/testing/sapphirehoist/testing/caller.py
+++ b/libs/testing/sapphirehoist/testing/caller.py
@@ -9,8 +9,6 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-_TIMEOUT_S = 30.0
-
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -75,13 +73,16 @@
         Any entry VM.
     token : str
         The team's bearer token.
+    timeout_s : float
+        Longest silence that is waited through.
     """
 
-    __slots__ = ("_pool", "_token", "url")
+    __slots__ = ("_pool", "_timeout_s", "_token", "url")
 
-    def __init__(self, url: str, token: str) -> None:
+    def __init__(self, url: str, token: str, timeout_s: float = 30.0) -> None:
         self.url = url
         self._token = token
+        self._timeout_s = timeout_s
         self._pool = urllib3.PoolManager(retries=False, maxsize=64)
 
     def entries(self, url: str = "", region: str = "") -> list[str]:
@@ -104,7 +105,7 @@
                 f"{url or self.url}/v1/requests",
                 body=body,
                 headers=headers,
-                timeout=_TIMEOUT_S,
+                timeout=self._timeout_s,
             )
         except HTTPError as exc:
             return Answer(0, str(exc).encode())
@@ -156,7 +157,7 @@
                 target,
                 body=body,
                 headers=headers,
-                timeout=_TIMEOUT_S,
+                timeout=self._timeout_s,
                 preload_content=False,
             )
             if resp.status != 200:
--- /dev/null
+++ b/tests/test_cuts.py
@@ -0,0 +1,119 @@
+"""Links cut between processes, and processes frozen for longer than any lease."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import gevent
+from fleets import (
+    STUDIO,
+    caller_of,
+    configuration,
+    expected_text,
+    start_fleet,
+)
+
+from sapphirehoist.configuration import Team
+from sapphirehoist.testing import (
+    Caller,
+    Deployment,
+    EndpointSpec,
+    Relay,
+    StreamedAnswer,
+    free_port,
+    read_json,
+    wait_until,
+)
+
+
+def test_regions_lose_each_other_and_heal(deployment: Deployment) -> None:
+    relays: dict[str, Relay] = {}
+    specs = [EndpointSpec("encoder-1", "encode", "vest", idempotent_calls=["encode"])]
+    deployment.start_endpoints(specs)
+    for vm, region in (("entry-1", "vest"), ("entry-2", "nord"), ("entry-3", "ost")):
+
+        def use_relay(settings: dict[str, Any], vm: str = vm) -> None:
+            peers = settings["peers"]
+            relays[vm] = Relay(int(peers["listen"].rsplit(":", 1)[1]), free_port())
+            peers["advertise"] = f"tcp://127.0.0.1:{relays[vm].port}"
+            peers["seeds"] = []
+
+        deployment.start_daemon(vm, region, use_relay)
+    deployment.list_vms()
+    deployment.wait_serving()
+    assert deployment.apply(configuration(deployment))["state"] == "accepted"
+    for relay in relays.values():
+        relay.cut()
+    for vm, daemon in deployment.daemons.items():
+        own = [daemon.caller_url]
+        wait_until(
+            lambda vm=vm, own=own: caller_of(deployment, vm).entries() == own,
+            f"{vm} offers only itself",
+        )
+    changed = Team("late", "1" * 64)
+    result = deployment.apply([changed], deployment.daemons["entry-1"], wait_s=1.0)
+    # Nobody is taken for gone: the platform lists every VM.
+    assert result["state"] == "committed"
+    assert result["missing"] == ["entry-2", "entry-3"]
+    for relay in relays.values():
+        relay.restore()
+    deployment.wait_serving(3)
+    path = f"/v1/config/acceptance/{result['version']}?wait_s=20"
+    accepted = deployment.operate(deployment.daemons["entry-2"], "GET", path)
+    assert accepted["state"] == "accepted"
+    for daemon in deployment.daemons.values():
+        config = deployment.operate(daemon, "GET", "/v1/config")
+        assert config["version"] == result["version"]
+    for relay in relays.values():
+        relay.close()
+
+
+def test_the_entry_is_frozen_in_a_stream(deployment: Deployment) -> None:
+    start_fleet(deployment)
+    text = "summarise the session tokens=1200"
+    seen: list[StreamedAnswer] = []
+    daemon = deployment.daemons["entry-1"]
+    caller = Caller(daemon.caller_url, STUDIO, timeout_s=1.0)
+    task = gevent.spawn(caller.stream, "quick", text, on_text=seen.append)
+    wait_until(lambda: seen and len(seen[-1].text) > 100, "some text arrived")
+    daemon.process.freeze()
+    broken = task.get()
+    assert isinstance(broken, StreamedAnswer) and not broken.is_done
+    resumed = gevent.spawn(caller_of(deployment, "entry-2").resume, broken)
+    gevent.sleep(0.5)
+    daemon.process.thaw()
+    whole = resumed.get()
+    assert isinstance(whole, StreamedAnswer)
+    assert whole.is_done
+    assert whole.text == expected_text(text)
+
+
+def test_the_holder_of_a_lease_is_frozen(deployment: Deployment) -> None:
+    start_fleet(deployment, engines=1)
+    holder, fencing = lease(deployment)
+    process = deployment.daemons[holder].process
+    process.freeze()
+    wait_until(lambda: lease(deployment)[0] != holder, "another VM holds the lease", 40)
+    successor, higher = lease(deployment)
+    assert higher > fencing
+    process.thaw()
+    wait_until(
+        lambda: any(
+            member["vm"] == holder and member["status"] == "alive"
+            for member in deployment.operate(
+                deployment.daemons[successor], "GET", "/v1/status"
+            )["members"]
+        ),
+        "the thawed VM is back",
+    )
+    gevent.sleep(3)  # two of its renewals
+    assert lease(deployment) == (successor, higher)
+
+
+def lease(deployment: Deployment) -> tuple[str, int]:
+    """Return the VM that holds the lease in the table, and its fencing number."""
+    path = "/dump?prefix=lease/"
+    rows = wait_until(lambda: read_json(deployment.platform_url, path), "a lease")
+    row = json.loads(rows["lease/claim-sweep"])
+    return row["holder"].split("/")[0], row["fencing"]
