Store large answers of claimed calls in the object store

Cause: an answer above 64 KiB was not stored, so a second request with the key got unknown although the call was done; the object store was an interface that nothing used. Change: large answers go to the object store before the row says done; the sweeper deletes them. Nodes take the object store as a part. Shown: test_a_large_answer_is_stored_apart_and_swept; before, the end was unknown.

--- a/bench/slopes_claims.py
+++ b/bench/slopes_claims.py
@@ -12,6 +12,7 @@
 from sapphirehoist.clock import ManualClock
 from sapphirehoist.observability import Metrics
 from sapphirehoist.outcomes import Done
+from sapphirehoist.platform import MemoryObjectStore
 from sapphirehoist.testing import FaultyTable
 
 _RATES = (1, 10, 50, 100, 200, 400, 800)
@@ -38,7 +39,14 @@
     table = FaultyTable(clock)
     table.delay_s = _TABLE_ANSWER_S
     ids = count()
-    registry = ClaimRegistry("entry-1", table, clock, lambda: str(next(ids)), Metrics())
+    registry = ClaimRegistry(
+        "entry-1",
+        table,
+        MemoryObjectStore(),
+        clock,
+        lambda: str(next(ids)),
+        Metrics(),
+    )
     requests = 0
     elapsed = 0.0
 
--- a/examples/embed.py
+++ b/examples/embed.py
@@ -18,7 +18,10 @@
 from sapphirehoist.observability import Metrics  # noqa: E402
 from sapphirehoist.outcomes import Done, Outcome  # noqa: E402
 from sapphirehoist.peers import MemoryNetwork, MemoryTransport  # noqa: E402
-from sapphirehoist.platform import MemoryTableService  # noqa: E402
+from sapphirehoist.platform import (  # noqa: E402
+    MemoryObjectStore,
+    MemoryTableService,
+)
 from sapphirehoist.settings import (  # noqa: E402
     Settings,
     SettingsFaults,
@@ -46,6 +49,7 @@
     registry = ClaimRegistry(
         "my-process",
         MemoryTableService(),  # your own TableService goes here
+        MemoryObjectStore(),
         SystemClock(),
         lambda: f"attempt-{next(ids)}",
         Metrics(),
@@ -87,6 +91,7 @@
         lambda: f"{number}-{next(ids)}",
         MemoryTransport(network, address),
         table,
+        MemoryObjectStore(),
         FakeVmList(),
         FakeEndpointClient(),
     )
--- a/libs/claims/sapphirehoist/claims/claim.py
+++ b/libs/claims/sapphirehoist/claims/claim.py
@@ -59,6 +59,8 @@
         What is known of the call.
     reason, detail, body
         The stored end of the call.
+    is_body_apart : bool
+        Whether the answer is an object under `object_key`, because it is large.
     """
 
     attempt_id: str
@@ -70,6 +72,12 @@
     reason: Reason | None = None
     detail: str = ""
     body: bytes = b""
+    is_body_apart: bool = False
+
+    @property
+    def object_key(self) -> str:
+        """Return the key of a large answer in the object store."""
+        return f"claim-answer/{self.attempt_id}"
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/claims/sapphirehoist/claims/registry.py
+++ b/libs/claims/sapphirehoist/claims/registry.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 import gevent
+import msgspec
 
 from sapphirehoist.claims.batch import RowConflict, TableBatch
 from sapphirehoist.claims.claim import (
@@ -29,6 +30,7 @@
 from sapphirehoist.platform import (
     Committed,
     Condition,
+    ObjectStore,
     Rows,
     TableService,
     Unavailable,
@@ -78,6 +80,8 @@
         This VM.
     table : TableService
         The platform's table.
+    objects : ObjectStore
+        Takes answers that are too large for a row.
     clock : Clock
         Wall time for rows, monotonic time for bounds.
     new_attempt_id : callable
@@ -94,6 +98,7 @@
         "_finishing",
         "_metrics",
         "_new_attempt_id",
+        "_objects",
         "_table",
         "_times",
         "_vm",
@@ -103,6 +108,7 @@
         self,
         vm: str,
         table: TableService,
+        objects: ObjectStore,
         clock: Clock,
         new_attempt_id: Callable[[], str],
         metrics: Metrics,
@@ -110,6 +116,7 @@
     ) -> None:
         self._vm = vm
         self._table = table
+        self._objects = objects
         self._clock = clock
         self._new_attempt_id = new_attempt_id
         self._metrics = metrics
@@ -188,7 +195,7 @@
             if current is None:
                 return _released()
             stored = current
-        return _stored_end(stored)
+        return self._stored_end(stored)
 
     def flush(self, timeout_s: float) -> bool:
         """Wait until every end is stored; return whether `timeout_s` sufficed."""
@@ -243,6 +250,8 @@
         """Replace the claim's row by its end, or delete it where `end` is None."""
         revision = claim.revision
         row_key = claim.key.row_key
+        if end is not None and len(end.body) > _MAX_STORED_BODY_BYTES:
+            end = self._put_apart(end)
         writes = [Write(row_key, None if end is None else encode_json(end))]
         if end is None:
             writes.append(Write(age_key(row_key, claim.stored.claimed_at_ms), None))
@@ -258,6 +267,35 @@
             self._clock.sleep(_FINISH_PAUSE_S)
         self._metrics.count("claims_without_end_total")
 
+    def _put_apart(self, end: StoredClaim) -> StoredClaim:
+        """Put a large answer into the object store; return the row without it."""
+        for _ in range(_FINISH_TRIES):
+            if isinstance(self._objects.put(end.object_key, end.body), Committed):
+                return msgspec.structs.replace(end, body=b"", is_body_apart=True)
+            self._clock.sleep(_FINISH_PAUSE_S)
+        detail = f"done; its answer of {len(end.body)} bytes could not be stored"
+        return msgspec.structs.replace(
+            end,
+            body=b"",
+            state=ClaimState.UNKNOWN,
+            reason=Reason.STORE_UNAVAILABLE,
+            detail=detail,
+        )
+
+    def _stored_end(self, stored: StoredClaim) -> Outcome:
+        if stored.state is ClaimState.DONE:
+            body: bytes | None | Unavailable = stored.body
+            if stored.is_body_apart:
+                body = self._objects.get(stored.object_key)
+            if isinstance(body, bytes):
+                return Done(body, replayed=True)
+            detail = "done; its answer cannot be read from the object store now"
+            return Unknown(Reason.STORE_UNAVAILABLE, detail)
+        reason = stored.reason or Reason.IN_PROGRESS
+        if stored.state is ClaimState.FAILED:
+            return Failed(reason, stored.detail)
+        return Unknown(reason, stored.detail)
+
     def _find_own_revision(self, claim: Claim) -> int:
         rows = self._table.read([claim.key.row_key])
         if isinstance(rows, Unavailable) or not rows.rows:
@@ -300,9 +338,6 @@
     state, reason, detail, body = ClaimState.DONE, None, "", b""
     if isinstance(outcome, Done):
         body = outcome.body
-        if len(body) > _MAX_STORED_BODY_BYTES:
-            state, reason, body = ClaimState.UNKNOWN, Reason.IN_PROGRESS, b""
-            detail = f"done; its answer of {len(outcome.body)} bytes is not stored"
     else:
         is_failed = isinstance(outcome, Failed)
         state = ClaimState.FAILED if is_failed else ClaimState.UNKNOWN
@@ -318,12 +353,3 @@
         detail,
         body,
     )
-
-
-def _stored_end(stored: StoredClaim) -> Outcome:
-    if stored.state is ClaimState.DONE:
-        return Done(stored.body, replayed=True)
-    reason = stored.reason or Reason.IN_PROGRESS
-    if stored.state is ClaimState.FAILED:
-        return Failed(reason, stored.detail)
-    return Unknown(reason, stored.detail)
--- a/libs/claims/sapphirehoist/claims/sweeper.py
+++ b/libs/claims/sapphirehoist/claims/sweeper.py
@@ -10,6 +10,7 @@
 from sapphirehoist.platform import (
     Committed,
     Condition,
+    ObjectStore,
     Row,
     TableService,
     Unavailable,
@@ -26,18 +27,25 @@
 
     Parameters
     ----------
-    table : TableService
-        The platform's table.
+    table, objects : TableService, ObjectStore
+        The platform's table, and its store of large answers.
     clock : Clock
         Wall time.
     metrics : Metrics
         Takes ``claims_swept_total``.
     """
 
-    __slots__ = ("_clock", "_metrics", "_next_minute", "_table")
+    __slots__ = ("_clock", "_metrics", "_next_minute", "_objects", "_table")
 
-    def __init__(self, table: TableService, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
         self._table = table
+        self._objects = objects
         self._clock = clock
         self._metrics = metrics
         self._next_minute = self._last_minute() - _CATCH_UP_MINUTES
@@ -71,6 +79,8 @@
             if age_key(row.key, stored.claimed_at_ms) == by_claim[row.key].key:
                 conditions.append(Condition(row.key, row.revision))
                 writes.append(Write(row.key, None))
+                if stored.is_body_apart:
+                    self._objects.delete(stored.object_key)
         outcome = self._table.transact(conditions, writes)
         if not isinstance(outcome, Committed):
             return 0
--- a/libs/claims/sapphirehoist/claims/tests/test_claims.py
+++ b/libs/claims/sapphirehoist/claims/tests/test_claims.py
@@ -20,7 +20,7 @@
 from sapphirehoist.clock import ManualClock
 from sapphirehoist.observability import Metrics
 from sapphirehoist.outcomes import Done, Failed, NotRun, Reason, Unknown
-from sapphirehoist.platform import MemoryTableService, Write
+from sapphirehoist.platform import MemoryObjectStore, MemoryTableService, Write
 from sapphirehoist.testing import FaultyTable
 
 KEY = ClaimKey("studio", "booking-1")
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self.clock = ManualClock()
         self.rows = MemoryTableService()
+        self.objects = MemoryObjectStore()
         self.tables: list[FaultyTable] = []
         self.metrics = Metrics()
         self._ids = count(1)
@@ -43,9 +44,18 @@
         self.tables.append(table)
         vm = f"entry-{len(self.tables)}"
         return ClaimRegistry(
-            vm, table, self.clock, lambda: f"attempt-{next(self._ids)}", self.metrics
+            vm,
+            table,
+            self.objects,
+            self.clock,
+            lambda: f"attempt-{next(self._ids)}",
+            self.metrics,
         )
 
+    def sweeper(self) -> ClaimSweeper:
+        """Return a sweeper of the shared table."""
+        return ClaimSweeper(self.rows, self.objects, self.clock, self.metrics)
+
     def run(self, act, seconds: float = 30.0):
         """Run `act` in a task, letting time pass, and return its value."""
         task = gevent.spawn(act)
@@ -229,11 +239,27 @@
     assert kinds == [ClaimTaken] + 10 * [Claim]
 
 
+def test_a_large_answer_is_stored_apart_and_swept(entries: Entries) -> None:
+    first, second = entries.add(), entries.add()
+    claim = entries.run(lambda: first.claim(KEY, BODY, 10))
+    large = b"plan " * 100_000
+    first.finish(claim, Done(large))
+    entries.clock.advance(1)
+    assert len(entries.rows.read([KEY.row_key]).rows[0].value) < 1000
+    taken = entries.run(lambda: second.claim(KEY, BODY, 60))
+    end = entries.run(lambda: second.wait_for_end(KEY, taken.stored, 60))
+    assert end == Done(large, replayed=True)
+    entries.clock.advance((CLAIM_AGE_MINUTES + 10) * 60)
+    sweeper = entries.sweeper()
+    assert sweeper.sweep() == 1
+    assert entries.objects.get(claim.stored.object_key) is None
+
+
 class TestSweeper:
     def test_old_claims_are_swept(self, entries: Entries) -> None:
         registry = entries.add()
         entries.run(lambda: registry.claim(KEY, BODY, 10))
-        sweeper = ClaimSweeper(entries.rows, entries.clock, entries.metrics)
+        sweeper = entries.sweeper()
         entries.clock.advance((CLAIM_AGE_MINUTES - 1) * 60)
         assert sweeper.sweep() == 0
         entries.clock.advance(180)
@@ -252,6 +278,6 @@
         entries.clock.advance(CLAIM_AGE_MINUTES * 60)
         again = entries.run(lambda: registry.claim(KEY, BODY, 10**6))
         assert isinstance(again, Claim)
-        sweeper = ClaimSweeper(entries.rows, entries.clock, entries.metrics)
+        sweeper = entries.sweeper()
         sweeper.sweep()
         assert len(entries.rows.read([KEY.row_key]).rows) == 1
--- a/libs/claims/sapphirehoist/claims/tests/test_properties.py
+++ b/libs/claims/sapphirehoist/claims/tests/test_properties.py
@@ -13,7 +13,7 @@
 from sapphirehoist.clock import ManualClock
 from sapphirehoist.observability import Metrics
 from sapphirehoist.outcomes import Done, NotRun, Reason
-from sapphirehoist.platform import MemoryTableService
+from sapphirehoist.platform import MemoryObjectStore, MemoryTableService
 from sapphirehoist.testing import FaultyTable
 
 ENTRIES = 3
@@ -44,7 +44,14 @@
     ids = count(1)
     tables = [FaultyTable(clock, rows) for _ in range(ENTRIES)]
     registries = [
-        ClaimRegistry(f"entry-{n}", table, clock, lambda: str(next(ids)), Metrics())
+        ClaimRegistry(
+            f"entry-{n}",
+            table,
+            MemoryObjectStore(),
+            clock,
+            lambda: str(next(ids)),
+            Metrics(),
+        )
         for n, table in enumerate(tables)
     ]
     calls: Counter[str] = Counter()
--- a/libs/node/sapphirehoist/node/node.py
+++ b/libs/node/sapphirehoist/node/node.py
@@ -187,7 +187,9 @@
         self._lease = Lease(
             "claim-sweep", holder, parts.table, parts.clock, self.timeline
         )
-        self._sweeper = ClaimSweeper(parts.table, parts.clock, self.metrics)
+        self._sweeper = ClaimSweeper(
+            parts.table, parts.objects, parts.clock, self.metrics
+        )
 
     def _build_pipeline(self) -> None:
         settings, parts = self.settings, self._parts
@@ -198,7 +200,12 @@
             settings.vm, settings.region, self.standing, self.loads
         )
         self.claims = ClaimRegistry(
-            settings.vm, parts.table, parts.clock, parts.new_id, self.metrics
+            settings.vm,
+            parts.table,
+            parts.objects,
+            parts.clock,
+            parts.new_id,
+            self.metrics,
         )
         targets = ClassTargets()
         stages = self._build_stages(targets)
--- a/libs/node/sapphirehoist/node/parts.py
+++ b/libs/node/sapphirehoist/node/parts.py
@@ -11,8 +11,10 @@
 from sapphirehoist.endpoints import EndpointClient, HttpEndpointClient
 from sapphirehoist.peers import CurveKeys, PeerTransport, ZmqTransport
 from sapphirehoist.platform import (
+    HttpObjectStore,
     HttpTableService,
     HttpVmList,
+    ObjectStore,
     TableService,
     VmList,
 )
@@ -33,7 +35,7 @@
         Returns an id that is unique in the fleet.
     transport : PeerTransport
         Reaches other daemons.
-    table, vms : TableService, VmList
+    table, objects, vms : TableService, ObjectStore, VmList
         The platform's services.
     client : EndpointClient
         Reaches endpoints.
@@ -44,6 +46,7 @@
     new_id: Callable[[], str]
     transport: PeerTransport
     table: TableService
+    objects: ObjectStore
     vms: VmList
     client: EndpointClient
 
@@ -58,6 +61,7 @@
             lambda: uuid4().hex,
             ZmqTransport(peers.listen, keys),
             HttpTableService(settings.platform.table),
+            HttpObjectStore(settings.platform.objects),
             HttpVmList(settings.platform.vms),
             HttpEndpointClient(),
         )
--- a/libs/platform/sapphirehoist/platform/__init__.py
+++ b/libs/platform/sapphirehoist/platform/__init__.py
@@ -23,7 +23,7 @@
     VmStates,
     Write,
 )
-from sapphirehoist.platform.memory import MemoryTableService
+from sapphirehoist.platform.memory import MemoryObjectStore, MemoryTableService
 
 __all__ = [
     "Committed",
@@ -32,6 +32,7 @@
     "HttpObjectStore",
     "HttpTableService",
     "HttpVmList",
+    "MemoryObjectStore",
     "MemoryTableService",
     "ObjectStore",
     "Row",
--- a/libs/platform/sapphirehoist/platform/http.py
+++ b/libs/platform/sapphirehoist/platform/http.py
@@ -165,6 +165,13 @@
             return Undecided(f"put: status {resp.status}")
         return Committed(0)
 
+    def delete(self, key: str) -> bool:
+        """Delete the object; return whether it is known to be absent."""
+        resp = self._http.call("DELETE", f"/v1/objects/{quote(key, safe='')}")
+        if isinstance(resp, Unavailable | Undecided):
+            return False
+        return resp.status in (_STATUS_OK, _STATUS_NOT_FOUND)
+
 
 class HttpVmList(VmList):
     """The platform's VM list over HTTP; see `HttpTableService` for the parameters."""
--- a/libs/platform/sapphirehoist/platform/interface.py
+++ b/libs/platform/sapphirehoist/platform/interface.py
@@ -123,6 +123,10 @@
     def put(self, key: str, value: bytes) -> Committed | Unavailable | Undecided:
         """Store the object under `key`."""
 
+    @abstractmethod
+    def delete(self, key: str) -> bool:
+        """Delete the object; return whether it is known to be absent."""
+
 
 class VmList(ABC):
     """The platform's lagging list of live and leaving VMs."""
--- a/libs/platform/sapphirehoist/platform/memory.py
+++ b/libs/platform/sapphirehoist/platform/memory.py
@@ -1,4 +1,4 @@
-"""An in-memory table service with the platform's semantics."""
+"""In-memory services with the platform's semantics."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
     Committed,
     Condition,
     Conflict,
+    ObjectStore,
     Row,
     Rows,
     TableService,
@@ -61,3 +62,35 @@
             else:
                 self._rows[write.key] = Row(write.key, write.value, self._revision)
         return Committed(self._revision)
+
+
+class MemoryObjectStore(ObjectStore):
+    """Object store for embedders' tests.
+
+    Examples
+    --------
+    >>> store = MemoryObjectStore()
+    >>> store.put("a", b"1")
+    Committed(revision=0)
+    >>> store.get("a"), store.get("b")
+    (b'1', None)
+    """
+
+    __slots__ = ("_objects",)
+
+    def __init__(self) -> None:
+        self._objects: dict[str, bytes] = {}
+
+    def get(self, key: str) -> bytes | None:
+        """Return the object, or None where there is none."""
+        return self._objects.get(key)
+
+    def put(self, key: str, value: bytes) -> Committed:
+        """Store the object under `key`."""
+        self._objects[key] = value
+        return Committed(0)
+
+    def delete(self, key: str) -> bool:
+        """Delete the object."""
+        self._objects.pop(key, None)
+        return True
--- a/libs/testing/sapphirehoist/standins/platform.py
+++ b/libs/testing/sapphirehoist/standins/platform.py
@@ -42,6 +42,7 @@
         self.app.post("/v1/transact", callback=self._transact)
         self.app.get("/v1/objects/<key:path>", callback=self._get_object)
         self.app.put("/v1/objects/<key:path>", callback=self._put_object)
+        self.app.delete("/v1/objects/<key:path>", callback=self._delete_object)
         self.app.get("/v1/vms", callback=self._read_vms)
         self.app.post("/control", callback=self._control)
         self.app.get("/counts", callback=lambda: json.dumps(self._counts))
@@ -89,6 +90,11 @@
         self._objects[key] = request.body.read()
         return HTTPResponse("stored", 200)
 
+    def _delete_object(self, key: str) -> HTTPResponse:
+        self._check_faults()
+        self._objects.pop(key, None)
+        return HTTPResponse("deleted", 200)
+
     def _read_vms(self) -> HTTPResponse:
         self._check_faults()
         states = {"type": "VmStates", "vms": self._listed[0]}
--- a/libs/testing/sapphirehoist/testing/in_process.py
+++ b/libs/testing/sapphirehoist/testing/in_process.py
@@ -18,7 +18,7 @@
 )
 from sapphirehoist.node import Node, NodeParts
 from sapphirehoist.peers import MemoryNetwork, MemoryTransport
-from sapphirehoist.platform import MemoryTableService
+from sapphirehoist.platform import MemoryObjectStore, MemoryTableService
 from sapphirehoist.settings import (
     Listen,
     OperatorKey,
@@ -55,6 +55,7 @@
         self.clock = ManualClock()
         self.network = MemoryNetwork(self.clock, delay_s)
         self.table = MemoryTableService()
+        self.objects = MemoryObjectStore()
         self.vms = FakeVmList()
         self.client = FakeEndpointClient()
         self.nodes: dict[str, Node] = {}
@@ -72,6 +73,7 @@
             self._new_id,
             MemoryTransport(self.network, _address(vm)),
             table,
+            self.objects,
             self.vms,
             self.client,
         )
