Give the engine stand-in a prefix cache, cache events and orders

Cause: the stand-in lacked what engines are said to have; nothing checked the stand-ins. Conclusion: the parts that will use these can be built against it.

--- a/libs/testing/sapphirehoist/standins/engine.py
+++ b/libs/testing/sapphirehoist/standins/engine.py
@@ -19,9 +19,14 @@
 from gevent.event import Event
 from gevent.queue import PriorityQueue
 
+from sapphirehoist.messages import decode_json, encode_json
+from sapphirehoist.standins.orders import Order, OrderBook
+from sapphirehoist.standins.prefix_cache import PrefixCache
 from sapphirehoist.standins.server import drop_connection
 
 _DEFAULT_TOKENS = 16
+_CACHED_PREFIXES = 64
+_CACHED_PART = 0.3
 _TOKENS = re.compile(rb"tokens=(\d+)")
 _WORDS = ("box", "depot", "booth", "door", "fish", "invoice", "reel", "tape")
 
@@ -46,6 +51,7 @@
     tokens: list[str]
     produced: int = 0
     is_cancelled: bool = False
+    is_cached: bool = False
     changed: Event = field(default_factory=Event)
 
     @property
@@ -59,7 +65,8 @@
     Switches: ``slow`` (factor on every time), ``leaving`` (bool), ``incarnation``
     (int), ``drop`` (bool: close connections without an answer), ``load_lag_s``
     (float), ``wrong_id`` (bool: answer for another request), ``break_after`` (int:
-    close each stream once after so many tokens).
+    close each stream once after so many tokens), ``events_lag_s`` (float),
+    ``events_gap`` (int: one cache event in so many is lost).
 
     Parameters
     ----------
@@ -69,10 +76,17 @@
         Time before the first token, and between tokens.
     generates : bool
         Whether its stage generates tokens.
+    checks_fencing : bool
+        Whether it refuses orders with an old fencing number.
     """
 
     def __init__(
-        self, capacity: int, base_s: float, token_s: float, generates: bool
+        self,
+        capacity: int,
+        base_s: float,
+        token_s: float,
+        generates: bool,
+        checks_fencing: bool = False,
     ) -> None:
         self._capacity = capacity
         self._base_s = base_s
@@ -92,19 +106,25 @@
         self._jobs: dict[str, _Job] = {}
         self._record: list[dict[str, object]] = []
         self._broken: set[str] = set()
+        self._cache = PrefixCache(_CACHED_PREFIXES)
+        self._orders = OrderBook(checks_fencing)
         for _ in range(capacity):
             gevent.spawn(self._run_slot)
         self.app = Bottle()
         self.app.post("/v1/stages/<stage>", callback=self._call)
         self.app.get("/v1/streams/<stream_id>", callback=self._resume)
         self.app.delete("/v1/requests/<request_id>", callback=self._cancel)
+        self.app.get("/v1/cache-events", callback=self._cache_events)
+        self.app.get("/v1/orders", callback=self._read_order)
+        self.app.post("/v1/orders", callback=self._take_order)
         self.app.post("/control", callback=self._control)
         self.app.get("/record", callback=lambda: json.dumps(self._record))
 
     def _run_slot(self) -> None:
         while True:
             _, _, job = self._queue.get()
-            gevent.sleep(self._base_s * self._slow)
+            base_s = self._base_s * (_CACHED_PART if job.is_cached else 1.0)
+            gevent.sleep(base_s * self._slow)
             while not job.is_finished:
                 if job.tokens:
                     gevent.sleep(self._token_s * self._slow)
@@ -135,6 +155,7 @@
         request_id = request.get_header("X-Request-Id")
         tokens = engine_tokens(body) if self._generates else [""]
         job = _Job(request_id, stage, tokens)
+        job.is_cached = self._cache.use(body)
         self._jobs[request_id] = job
         self._record.append(
             {
@@ -219,8 +240,28 @@
             "X-Attempt": request.get_header("X-Attempt", "1"),
         }
 
+    def _cache_events(self) -> HTTPResponse:
+        after = int(request.query.get("after", "0"))
+        return HTTPResponse(encode_json(self._cache.events_after(after)), 200)
+
+    def _read_order(self) -> HTTPResponse:
+        return HTTPResponse(encode_json(self._orders.current), 200)
+
+    def _take_order(self) -> HTTPResponse:
+        order = decode_json(request.body.read(), Order)
+        if not isinstance(order, Order):
+            return HTTPResponse(order.detail, 400)
+        is_taken = self._orders.take(order)
+        return HTTPResponse(encode_json(self._orders.current), 200 if is_taken else 409)
+
     def _control(self) -> str:
         for name, value in json.loads(request.body.read()).items():
+            if name == "events_lag_s":
+                self._cache.lag_s = value
+                continue
+            if name == "events_gap":
+                self._cache.gap_every = value
+                continue
             assert hasattr(self, f"_{name}"), name
             setattr(self, f"_{name}", value)
         return "ok"
--- /dev/null
+++ b/libs/testing/sapphirehoist/standins/prefix_cache.py
@@ -0,0 +1,71 @@
+"""An engine's cache of prompt prefixes, and its late and incomplete events."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from hashlib import sha256
+
+import gevent
+import msgspec
+
+_PREFIX_BYTES = 256
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A prefix was stored or evicted; numbers that are missing were lost."""
+
+    number: int
+    kind: str
+    prefix: str
+
+
+class PrefixCache:
+    """Least recently used prefixes, in limited memory.
+
+    Parameters
+    ----------
+    size : int
+        Prefixes that it holds.
+
+    Attributes
+    ----------
+    lag_s : float
+        How late events are published.
+    gap_every : int
+        One event in so many is never published; 0 publishes all.
+    """
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._published: list[CacheEvent] = []
+        self._number = 0
+        self.lag_s = 0.0
+        self.gap_every = 0
+
+    def use(self, body: bytes) -> bool:
+        """Return whether the prefix of `body` was cached; it is from now on."""
+        prefix = sha256(body[:_PREFIX_BYTES]).hexdigest()[:16]
+        is_hit = prefix in self._prefixes
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        if not is_hit:
+            self._publish("stored", prefix)
+        if len(self._prefixes) > self._size:
+            evicted, _ = self._prefixes.popitem(last=False)
+            self._publish("evicted", evicted)
+        return is_hit
+
+    def events_after(self, number: int) -> list[CacheEvent]:
+        """Return the events published so far whose number is above `number`."""
+        return [event for event in self._published if event.number > number]
+
+    def _publish(self, kind: str, prefix: str) -> None:
+        self._number += 1
+        if self.gap_every and self._number % self.gap_every == 0:
+            return
+        event = CacheEvent(self._number, kind, prefix)
+        if self.lag_s:
+            gevent.spawn_later(self.lag_s, self._published.append, event)
+        else:
+            self._published.append(event)
