Report tokens by stage

Cause: the report lacked tokens, which the users count as cost. Change: tokens of streams are counted by their events, those of whole answers are what the engine says. Shown: a whole answer of 21 and a stream of 12 are reported as 33.

--- a/libs/ctl/sapphirehoist/ctl/commands.py
+++ b/libs/ctl/sapphirehoist/ctl/commands.py
@@ -39,6 +39,15 @@
 EXIT_NO_ANSWER = 2
 _WAIT_STEP_S = 2
 _CHANGE_STATUSES = (200, 409, 422, 504)
+_STAGE_HEADER = (
+    "stage",
+    "calls",
+    "retries",
+    "busy s",
+    "tokens",
+    "bytes",
+    "cross-region bytes",
+)
 
 T = TypeVar("T")
 
@@ -140,14 +149,15 @@
         ]
         stages = [
             [
-                n,
-                s.calls,
-                s.retries,
-                f"{s.busy_s:.1f}",
-                s.bytes_out,
-                s.cross_region_bytes,
+                name,
+                stage.calls,
+                stage.retries,
+                f"{stage.busy_s:.1f}",
+                stage.tokens,
+                stage.bytes_out,
+                stage.cross_region_bytes,
             ]
-            for n, s in sorted(total.stages.items())
+            for name, stage in sorted(total.stages.items())
         ]
         return "\n\n".join(
             [
@@ -155,7 +165,7 @@
                     ["class", "admitted", "met", "attainment", "refused"], classes
                 ),
                 format_table(
-                    ["stage", "calls", "retries", "busy s", "bytes", "cross-region"],
+                    _STAGE_HEADER,
                     stages,
                 ),
             ]
--- a/libs/ctl/sapphirehoist/ctl/views.py
+++ b/libs/ctl/sapphirehoist/ctl/views.py
@@ -53,6 +53,7 @@
     calls: int = 0
     retries: int = 0
     busy_s: float = 0.0
+    tokens: int = 0
     bytes_out: int = 0
     cross_region_bytes: int = 0
 
--- a/libs/endpoints/sapphirehoist/endpoints/client.py
+++ b/libs/endpoints/sapphirehoist/endpoints/client.py
@@ -60,11 +60,14 @@
         Whether it takes no more work.
     load : int or None
         Calls that it runs or queues, from all nodes.
+    tokens : int
+        Tokens that it generated for a whole answer; 0 where it does not say.
     """
 
     incarnation: int = 0
     is_leaving: bool = False
     load: int | None = None
+    tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/endpoints/sapphirehoist/endpoints/http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -241,6 +241,7 @@
         _as_int(resp.headers.get("X-Incarnation")) or 0,
         resp.headers.get("X-Leaving") == "1",
         _as_int(resp.headers.get("X-Load")),
+        _as_int(resp.headers.get("X-Tokens")) or 0,
     )
 
 
--- a/libs/pipeline/sapphirehoist/pipeline/accounts.py
+++ b/libs/pipeline/sapphirehoist/pipeline/accounts.py
@@ -28,8 +28,8 @@
         Attempts, and those of them that repeat a failed one.
     busy_s : float
         Seconds for which endpoints held calls.
-    bytes_out : int
-        Bytes of output.
+    tokens, bytes_out : int
+        Tokens and bytes of output.
     cross_region_bytes : int
         Bytes of input and output that passed between regions.
     """
@@ -37,6 +37,7 @@
     calls: int = 0
     retries: int = 0
     busy_s: float = 0.0
+    tokens: int = 0
     bytes_out: int = 0
     cross_region_bytes: int = 0
 
--- a/libs/pipeline/sapphirehoist/pipeline/stages.py
+++ b/libs/pipeline/sapphirehoist/pipeline/stages.py
@@ -130,9 +130,11 @@
         opened: StageOpened,
         seconds: float,
         size: int,
+        tokens: int,
     ) -> None:
         """Learn from a stream that ended; it was in flight until now."""
         self._parts.pools.loads.end(opened.endpoint.name)
+        self._parts.accounts.of_stage(stage.name).tokens += tokens
         if size:
             chosen = _Chosen(opened.endpoint, opened.had_room)
             self._learn_success(req, stage, chosen, seconds, size)
@@ -220,6 +222,7 @@
         if not isinstance(answer, Stream):
             parts.pools.loads.end(endpoint.name)
         if isinstance(answer, Answered):
+            account.tokens += answer.signs.tokens
             self._learn_success(req, stage, chosen, seconds, len(answer.body))
         if not isinstance(answer, NotSent):
             account.cross_region_bytes += parts.pools.cross_region_bytes(
--- a/libs/pipeline/sapphirehoist/pipeline/streams.py
+++ b/libs/pipeline/sapphirehoist/pipeline/streams.py
@@ -32,6 +32,8 @@
 _ORPHAN_GRACE_S = 5.0
 _TAKEN_TIMEOUT_S = 1.0
 _RESUMES_PER_STREAM = 2
+_EVENT_START = b"id: "
+_NEXT_EVENT_START = b"\nid: "
 _EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
@@ -87,6 +89,7 @@
     stream: Stream
     offset: int
     deadline: float
+    tokens: int = 0
     last_block: bytes = b""
     is_complete: bool = False
     is_taken: bool = False
@@ -234,7 +237,9 @@
             seconds = self._clock.monotonic() - started
             stage = req.pipeline.stages[-1]
             flow.note_offset()
-            self._stages.learn_stream_end(req, stage, opened, seconds, flow.offset)
+            self._stages.learn_stream_end(
+                req, stage, opened, seconds, flow.offset, flow.tokens
+            )
             self._runner.finish(req, outcome)
             self._leave(flow)
 
@@ -258,8 +263,9 @@
                 if isinstance(item, StreamBroken):
                     broken = item
                     break
-                if item.startswith(b"id: "):
+                if item.startswith(_EVENT_START):
                     flow.last_block = item
+                    flow.tokens += 1 + item.count(_NEXT_EVENT_START)
                 yield StreamBlock(item)
             if broken is None:
                 flow.is_complete = True
--- a/libs/testing/sapphirehoist/standins/engine.py
+++ b/libs/testing/sapphirehoist/standins/engine.py
@@ -180,7 +180,10 @@
             drop_connection()
         text = "".join(job.tokens).encode() if self._generates else b""
         output = text if self._generates else stage_output(stage, body)
-        return HTTPResponse(output, 200, self._headers(stage, request_id))
+        headers = self._headers(stage, request_id)
+        if self._generates:
+            headers["X-Tokens"] = str(len(job.tokens))
+        return HTTPResponse(output, 200, headers)
 
     def _resume(self, stream_id: str) -> HTTPResponse:
         job = self._jobs.get(stream_id)
--- a/tests/test_operators_tool.py
+++ b/tests/test_operators_tool.py
@@ -70,14 +70,19 @@
         assert self.run("status", "--url=http://127.0.0.1:9")[0] == 2
 
     def test_status_drain_report_timeline(self) -> None:
-        assert caller_of(self.deployment, "entry-2").submit("quick", "x").status == 200
+        caller = caller_of(self.deployment, "entry-2")
+        assert caller.submit("quick", "tokens=21").status == 200
+        caller.stream("quick", "tokens=12")
         code, text = self.run("status")
         assert (code, text.count("alive")) == (0, 2)
         code, text = self.run("drain", "engine-1")
         assert (code, "engine-1" in text) == (0, True)
         assert self.run("drain", "engine-9")[0] == 1
         code, text = self.run("report")
-        assert "quick" in text and "generate" in text
+        lines = {line.split()[0]: line.split() for line in text.splitlines() if line}
+        assert lines["quick"][1:4] == ["2", "2", "100.0%"]
+        assert lines["generate"][1:3] == ["2", "0"]
+        assert lines["generate"][4] == "33"
         code, text = self.run("timeline")
         assert "config_in_force" in text and "endpoint_leaving" in text
         trace = str(self.folder / "trace.json")
