End streams at their deadline and tell the engine at once

Cause: the deadline bounded each read of a stream, not the whole: a stream that kept producing ran past it. test_a_stream_past_its_deadline_is_ended_and_cancelled failed before (5,000 tokens came under a deadline of 1.5 s, until the caller's own time-out). Change: the deadline is checked with each block; a stream past it is not kept for a resumption. Conclusion: the test passes.

--- a/libs/pipeline/sapphirehoist/pipeline/streams.py
+++ b/libs/pipeline/sapphirehoist/pipeline/streams.py
@@ -32,6 +32,7 @@
 _ORPHAN_GRACE_S = 5.0
 _TAKEN_TIMEOUT_S = 1.0
 _RESUMES_PER_STREAM = 2
+_CALLER_GONE = "the caller went away"
 _EVENT_START = b"id: "
 _NEXT_EVENT_START = b"\nid: "
 _EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
@@ -171,15 +172,12 @@
         refusal = self._runner.admit(req)
         if refusal is not None:
             return refusal
-        outcome: Outcome = Failed(Reason.CALLER_GONE, "the caller went away")
-        opened: StageOpened | Outcome | None = None
+        opened: StageOpened | Outcome = Failed(Reason.CALLER_GONE, _CALLER_GONE)
         try:
             opened = self._open_last_stage(req)
-            if not isinstance(opened, StageOpened):
-                outcome = opened
         finally:
             if not isinstance(opened, StageOpened):
-                self._runner.finish(req, outcome)
+                self._runner.finish(req, opened)
         if not isinstance(opened, StageOpened):
             return opened
         flow = _Flow(req.request_id, opened.endpoint, opened.stream, 0, req.deadline)
@@ -217,7 +215,7 @@
         self, req: WorkRequest, opened: StageOpened, flow: _Flow
     ) -> Iterator[StreamBlock | StreamEnd]:
         started = self._clock.monotonic()
-        outcome: Outcome = Failed(Reason.CALLER_GONE, "the caller went away")
+        outcome: Outcome = Failed(Reason.CALLER_GONE, _CALLER_GONE)
         self._flows[flow.request_id] = flow
         try:
             yield StreamBlock(self._started_event(req, flow))
@@ -267,6 +265,9 @@
                     flow.last_block = item
                     flow.tokens += 1 + item.count(_NEXT_EVENT_START)
                 yield StreamBlock(item)
+                if self._clock.monotonic() >= flow.deadline:
+                    yield StreamEnd(Failed(Reason.DEADLINE, "the deadline passed"))
+                    return
             if broken is None:
                 flow.is_complete = True
                 yield StreamEnd(Done(b""))
@@ -315,7 +316,8 @@
             self._orphans[flow.request_id] = task
 
     def _cancel_later(self, flow: _Flow) -> None:
-        self._clock.sleep(_ORPHAN_GRACE_S)
+        left_s = flow.deadline - self._clock.monotonic()
+        self._clock.sleep(min(_ORPHAN_GRACE_S, max(left_s, 0.0)))
         self._orphans.pop(flow.request_id, None)
         self._client.cancel(flow.endpoint, flow.request_id)
         self._metrics.count("streams_cancelled_total")
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -109,6 +109,22 @@
     assert answer.text == expected_text(LONG)
 
 
+def test_a_stream_past_its_deadline_is_ended_and_cancelled(
+    deployment: Deployment,
+) -> None:
+    text = "summarise the session tokens=5000"
+    caller = caller_of(deployment, "entry-1")
+    answer = caller.stream("quick", text, deadline_ms=1500)
+    assert isinstance(answer, StreamedAnswer)
+    assert not answer.is_done
+    assert '"reason":"deadline"' in answer.ended
+    url = deployment.endpoints[engine_of(deployment)].url
+    wait_until(
+        lambda: any(r["stage"] == "cancel" for r in read_json(url, "/record")),
+        "the engine was told to stop",
+    )
+
+
 def test_the_engine_dies(deployment: Deployment) -> None:
     task, _ = start_stream(deployment, "entry-1")
     deployment.stand_ins[engine_of(deployment)].kill()
