--- a/bench/entry_cost.py
+++ b/bench/entry_cost.py
@@ -6,6 +6,7 @@
 import os
 import tempfile
 import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from hashlib import sha256
 from pathlib import Path
@@ -70,7 +71,42 @@
             deployment.close()
 
 
+def measure_token_cores(rates: Sequence[int]) -> list[tuple[float, float]]:
+    """Return tokens each second and cores of one entry process, for each rate."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(Path(folder))
+        try:
+            daemon = _start(deployment)
+            return [_measure_tokens(daemon, rate) for rate in rates]
+        finally:
+            deployment.close()
+
+
 def _measure(deployment: Deployment) -> EntryCost:
+    daemon = _start(deployment)
+    idle_cores = _cores(daemon, lambda: gevent.sleep(3))
+    idle_mb = _resident_mb(daemon)
+    token_rate, token_cores = _measure_tokens(daemon, TOKENS_PER_S)
+    direct = _latencies(deployment.endpoints["encoder"].url + "/v1/stages/encode", {})
+    through: list[float] = []
+
+    def run_requests() -> None:
+        through.extend(_latencies(daemon.caller_url + "/v1/requests", _headers()))
+
+    request_cores = _cores(daemon, run_requests)
+    return EntryCost(
+        token_rate,
+        token_cores,
+        len(through) / _SECONDS,
+        request_cores,
+        1000 * (_quantile(through, 0.5) - _quantile(direct, 0.5)),
+        1000 * (_quantile(through, 0.99) - _quantile(direct, 0.99)),
+        idle_cores,
+        idle_mb,
+    )
+
+
+def _start(deployment: Deployment) -> Daemon:
     deployment.start_platform()
     engine = EndpointKind.ENGINE
     deployment.start_endpoints(
@@ -96,33 +132,13 @@
     daemon = deployment.start_daemon("entry-1", "vest")
     deployment.wait_serving()
     deployment.apply(_configuration(deployment))
-    idle_cores = _cores(daemon, lambda: gevent.sleep(3))
-    idle_mb = _resident_mb(daemon)
-    token_rate, token_cores = _measure_tokens(daemon)
-    direct = _latencies(deployment.endpoints["encoder"].url + "/v1/stages/encode", {})
-    request_cores = 0.0
-    through: list[float] = []
-
-    def run_requests() -> None:
-        through.extend(_latencies(daemon.caller_url + "/v1/requests", _headers()))
-
-    request_cores = _cores(daemon, run_requests)
-    return EntryCost(
-        token_rate,
-        token_cores,
-        len(through) / _SECONDS,
-        request_cores,
-        1000 * (_quantile(through, 0.5) - _quantile(direct, 0.5)),
-        1000 * (_quantile(through, 0.99) - _quantile(direct, 0.99)),
-        idle_cores,
-        idle_mb,
-    )
+    return daemon
 
 
-def _measure_tokens(daemon: Daemon) -> tuple[float, float]:
-    """Return tokens each second and cores used, with streams enough for the target."""
+def _measure_tokens(daemon: Daemon, wanted: int) -> tuple[float, float]:
+    """Return tokens each second and cores used, with streams for `wanted` tokens/s."""
     counter = _Counter()
-    streams = int(TOKENS_PER_S * _TOKEN_GAP_S) + 1
+    streams = int(wanted * _TOKEN_GAP_S) + 1
     for number in range(streams):
         gevent.spawn(_stream_again, daemon, counter, number / streams * 2)
     gevent.sleep(_WARM_S + 2)
@@ -184,7 +200,7 @@
     return latencies
 
 
-def _cores(daemon: Daemon, act) -> float:  # type: ignore[no-untyped-def]
+def _cores(daemon: Daemon, act: Callable[[], object]) -> float:
     """Return the cores that the daemon used while `act` ran."""
     busy, started = _busy_s(daemon), time.monotonic()
     act()
--- a/bench/slopes_process.py
+++ b/bench/slopes_process.py
@@ -9,6 +9,7 @@
 
 import gevent
 import zmq
+from entry_cost import measure_token_cores
 from fits import print_fit
 
 from sapphirehoist.clock import HybridClock, SystemClock
@@ -19,6 +20,7 @@
 
 _SIZES = (4, 8, 16, 32)
 _SECONDS = 10.0
+_TOKEN_RATES = (900, 1800, 2700, 3500)
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _MESSAGES = 2000
 
@@ -67,6 +69,9 @@
     print_fit("heartbeats", "% of a core per node", _SIZES, cores, "log2(n)")
     memory = [cost[1] / 1e6 for cost in costs]
     print_fit("sockets and state", "MB per node", _SIZES, memory, "log2(n)")
+    tokens = measure_token_cores(_TOKEN_RATES)
+    rates = [rate for rate, _ in tokens]
+    print_fit("tokens passed on", "cores", rates, [used for _, used in tokens], "n")
     print(f"wire overhead of a message: {_wire_overhead(keys):.1f} bytes")
 
 
