Measure the cost of configuration by rate of changes

Cause: make slopes gave the cost of a change at rest only. Change: a fleet of 16 nodes takes changes at 0.2, 1 and 5 a second.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,7 +15,7 @@
 
 from slopes_claims import measure_claim_slopes  # noqa: E402
 from slopes_decisions import measure_decision_slopes  # noqa: E402
-from slopes_fleet import measure_fleet_slopes  # noqa: E402
+from slopes_fleet import measure_change_rates, measure_fleet_slopes  # noqa: E402
 from slopes_process import measure_process_slopes  # noqa: E402
 from slopes_state import measure_state_slopes  # noqa: E402
 
@@ -23,6 +23,7 @@
 def main() -> int:
     """Print every measurement and its fit."""
     measure_fleet_slopes()
+    measure_change_rates()
     measure_claim_slopes()
     measure_state_slopes()
     measure_decision_slopes()
--- a/bench/slopes_fleet.py
+++ b/bench/slopes_fleet.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from fits import print_fit
+from fits import print_fit, print_points
 
 from sapphirehoist.configuration import Team
 from sapphirehoist.testing import InProcessFleet
@@ -16,6 +16,9 @@
 _CHANGES = 5
 _SETTLE_S = 15
 _STEP_S = 0.05
+_CHANGE_RATES = (0.2, 1.0, 5.0)
+_RATE_SIZE = 16
+_RATE_S = 20
 _LINK_DELAY_S = 0.03
 
 
@@ -112,6 +115,37 @@
         print(f"  at {TARGET_NODES}    {fitted.at(TARGET_NODES):.4g}")
 
 
+def measure_change_rates() -> None:
+    """Print what a change costs at different rates of changes."""
+    fleet = InProcessFleet(_RATE_SIZE, _LINK_DELAY_S)
+    for number in range(_RATE_SIZE):
+        fleet.start(f"vm-{number}", _REGIONS[number % 3])
+    fleet.run_until_joined(60)
+    fleet.run(_SETTLE_S)
+    idle_bytes = _measure_s(fleet, _IDLE_S)[0]
+    costs = [_change_at_rate(fleet, rate, idle_bytes) for rate in _CHANGE_RATES]
+    fleet.close()
+    print_points(
+        f"change of configuration, {_RATE_SIZE} nodes",
+        "bytes per node and change, by changes/s",
+        _CHANGE_RATES,
+        costs,
+    )
+
+
+def _change_at_rate(fleet: InProcessFleet, rate: float, idle_bytes: float) -> float:
+    changes = int(rate * _RATE_S)
+    started = _bytes(fleet)
+    for number in range(changes):
+        vm = f"vm-{number % _RATE_SIZE}"
+        version = fleet.commit(vm, [Team(f"team-{number % 9}", f"{number:064x}")])
+        fleet.run(1 / rate)
+    fleet.run(_SETTLE_S)
+    assert {node.replica.version for node in fleet.nodes.values()} == {version}
+    sent = (_bytes(fleet) - started) / _RATE_SIZE
+    return (sent - idle_bytes * (changes / rate + _SETTLE_S)) / changes
+
+
 def _measure_s(fleet: InProcessFleet, seconds: float) -> tuple[float, float]:
     """Return bytes and messages for each node and second."""
     nodes = len(fleet.nodes)
