Count refused connections between daemons and refused operators

Change: the transport tells its receiver of each connection that it does not admit, and the operators' interface counts like the callers'. Before and after: test_a_wrong_key_gets_nothing_through and test_operators_are_authorised, which now ask for the counts, failed without the change and pass with it.

--- a/libs/entry/sapphirehoist/entry/operators.py
+++ b/libs/entry/sapphirehoist/entry/operators.py
@@ -138,6 +138,8 @@
         def authorised(**arguments: int) -> HTTPResponse:
             operator = self._operator()
             if not operator:
+                reason = Reason.UNAUTHORISED.value
+                self._parts.metrics.count("refusals_total", reason=reason)
                 detail = "Authorization: no operator has this bearer token"
                 return to_response(NotRun(Reason.UNAUTHORISED, detail))
             request.environ["sapphirehoist.operator"] = operator
--- a/libs/peers/sapphirehoist/peers/bus.py
+++ b/libs/peers/sapphirehoist/peers/bus.py
@@ -130,6 +130,10 @@
         if envelope is not None:
             gevent.spawn(self._handle, envelope, reply)
 
+    def count_refused_connection(self) -> None:
+        """Count a connection whose key is not the fleet's."""
+        self._metrics.count("peer_refused_connections_total")
+
     def receive_reply(self, payload: bytes) -> None:
         """Match a reply to its request; a late or repeated one is dropped."""
         envelope = self._open(payload)
--- a/libs/peers/sapphirehoist/peers/tests/test_bus.py
+++ b/libs/peers/sapphirehoist/peers/tests/test_bus.py
@@ -102,6 +102,7 @@
 
     def __init__(self) -> None:
         self.received: list[bytes] = []
+        self.refused = 0
 
     def receive_request(self, payload: bytes, reply: Callable[[bytes], None]) -> None:
         self.received.append(payload)
@@ -109,6 +110,9 @@
     def receive_reply(self, payload: bytes) -> None:
         pass
 
+    def count_refused_connection(self) -> None:
+        self.refused += 1
+
 
 def test_a_wrong_key_gets_nothing_through() -> None:
     def keys() -> CurveKeys:
@@ -132,5 +136,6 @@
     wait_until(lambda: b"member" in receiver.received, "the member is heard")
     SystemClock().sleep(0.5)
     assert receiver.received == [b"member"]
+    assert receiver.refused >= 1
     for transport in (server, other, member, impostor):
         transport.close()
--- a/libs/peers/sapphirehoist/peers/transport.py
+++ b/libs/peers/sapphirehoist/peers/transport.py
@@ -17,6 +17,9 @@
     def receive_reply(self, payload: bytes) -> None:
         """Take the reply to a message that this daemon sent."""
 
+    def count_refused_connection(self) -> None:  # noqa: B027
+        """Count a connection that the transport did not admit."""
+
 
 class PeerTransport(ABC):
     """Unreliable, unordered delivery; a message is delivered whole or not at all."""
--- a/libs/peers/sapphirehoist/peers/zeromq.py
+++ b/libs/peers/sapphirehoist/peers/zeromq.py
@@ -142,10 +142,13 @@
 
     def _admit_clients(self, zap: zmq.Socket) -> None:
         """Answer ZAP requests: only the fleet's own public key is admitted."""
+        assert self._receiver is not None
         fleet_key = z85.decode(self._keys.public.encode())
         while True:
             frames = zap.recv_multipart()
             request_id, mechanism, credentials = frames[1], frames[5], frames[6:]
             is_fleet = mechanism == b"CURVE" and credentials == [fleet_key]
+            if not is_fleet:
+                self._receiver.count_refused_connection()
             status = [b"200", b"OK"] if is_fleet else [b"400", b"unknown key"]
             zap.send_multipart([_ZAP_VERSION, request_id, *status, b"", b""])
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,6 +9,7 @@
 from fleets import STUDIO, caller_of, expected_text, start_fleet
 
 from sapphirehoist.testing import Caller, Deployment, StreamedAnswer, read_json
+from sapphirehoist.testing.deployment import OPERATOR_TOKEN
 
 
 def test_answers_are_what_the_engine_produced(deployment: Deployment) -> None:
@@ -86,6 +87,9 @@
         for path in ("/v1/config", "/v1/status", "/metrics"):
             resp = urllib3.request("GET", url + path)
             assert resp.status == 401
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        text = urllib3.request("GET", url + "/metrics", headers=headers).data.decode()
+        assert 'refusals_total{reason="unauthorised"} 3' in text
 
     def test_a_forged_resume_token_is_refused(self) -> None:
         other = Caller(self.caller.url, "token-of-the-depot")
