--- a/examples/embed.py
+++ b/examples/embed.py
@@ -18,15 +18,15 @@
 from sapphirehoist.observability import Metrics  # noqa: E402
 from sapphirehoist.outcomes import Done, Outcome  # noqa: E402
 from sapphirehoist.peers import MemoryNetwork, MemoryTransport  # noqa: E402
-from sapphirehoist.storage import (  # noqa: E402
-    MemoryObjectStore,
-    MemoryTableService,
-)
 from sapphirehoist.settings import (  # noqa: E402
     Settings,
     SettingsFaults,
     load_settings,
 )
+from sapphirehoist.storage import (  # noqa: E402
+    MemoryObjectStore,
+    MemoryTableService,
+)
 from sapphirehoist.testing import FakeEndpointClient, FakeVmList  # noqa: E402
 
 
--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -12,11 +12,13 @@
     TargetAdmission,
 )
 from sapphirehoist.decisions.batching import (
-    Batch,
     BatchPolicy,
+    NearestStageEndpoint,
     OneByOne,
     QueuedPiece,
+    SoonestStageEndpoint,
     StageEndpoint,
+    StageEndpointPolicy,
     UrgentFirst,
 )
 from sapphirehoist.decisions.limits import TeamShares
@@ -48,7 +50,7 @@
     RoutingPolicy,
     TargetRouting,
 )
-from sapphirehoist.decisions.subset import endpoint_subset
+from sapphirehoist.decisions.subset import endpoint_subset, rendezvous_score
 from sapphirehoist.decisions.targets import ClassTargets
 
 __all__ = [
@@ -58,7 +60,6 @@
     "AdmissionQuery",
     "AdmitAll",
     "Admitted",
-    "Batch",
     "BatchPolicy",
     "BudgetedRetry",
     "Candidate",
@@ -70,6 +71,7 @@
     "LeastInFlightRouting",
     "LeastLoadedPlacement",
     "LoadBook",
+    "NearestStageEndpoint",
     "NotAdmitted",
     "OneByOne",
     "Place",
@@ -83,7 +85,9 @@
     "Route",
     "RoutingPolicy",
     "SharedRetryBudget",
+    "SoonestStageEndpoint",
     "StageEndpoint",
+    "StageEndpointPolicy",
     "TargetAdmission",
     "TargetRouting",
     "TeamShares",
@@ -91,4 +95,5 @@
     "UrgentFirst",
     "Work",
     "endpoint_subset",
+    "rendezvous_score",
 ]
--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -1,7 +1,8 @@
-"""Which pieces go into the next call to a stage pool, and to which endpoint.
+"""Which pieces go into the next call to a stage's endpoint, and which endpoint is asked.
 
 Load it answers: pools whose calls cost far more than the pieces in them, fed by
-several nodes at once, so that full calls are the pool's capacity.
+several nodes at once, so that full calls are the pool's capacity; and results that take
+up the little space that their maker has.
 """
 
 from __future__ import annotations
@@ -14,8 +15,12 @@
 
 # Pieces of a less urgent route are ordered as if they had this much more time.
 _PRIORITY_STEP_S = 0.4
-# Calls that a piece waits for near this node before one farther away is asked.
-_CALLS_BEFORE_FAR = 1.0
+# A round trip and what results cost on the way, in terms of waiting time.
+_FARTHER_S = {
+    Distance.SAME_ZONE: 0.0,
+    Distance.SAME_REGION: 0.05,
+    Distance.OTHER_REGION: 0.25,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,134 +30,128 @@
     Attributes
     ----------
     number : int
-        Identifies it to the caller of the planner.
+        Identifies it to the caller of the policy.
     target_at : float
         Monotonic time at which its request should begin to be answered.
-    queued_at : float
-        Monotonic time since which it has waited.
     priority : int
         Rank of its route; 0 is the most urgent.
+    result_bytes : int
+        Space that its result takes up.
     """
 
     number: int
     target_at: float
-    queued_at: float
     priority: int = 0
+    result_bytes: int = 0
+
+
+class BatchPolicy(ABC):
+    """Fills calls."""
+
+    @abstractmethod
+    def fill(
+        self, pieces: Sequence[QueuedPiece], batch: int, room_bytes: float, now: float
+    ) -> tuple[int, ...]:
+        """Return the numbers of at most `batch` pieces that fit into `room_bytes`."""
+
+
+class OneByOne(BatchPolicy):
+    """Baseline: each piece by itself, in the order of arrival, whatever the room."""
+
+    __slots__ = ()
+
+    def fill(
+        self, pieces: Sequence[QueuedPiece], batch: int, room_bytes: float, now: float
+    ) -> tuple[int, ...]:
+        """Return the first piece."""
+        return tuple(piece.number for piece in pieces[:1])
+
+
+class UrgentFirst(BatchPolicy):
+    """The pieces with the least time left that fit.
+
+    Pieces whose request has missed its target come after all others.
+
+    Examples
+    --------
+    >>> pieces = [QueuedPiece(1, 9.0), QueuedPiece(2, 5.0), QueuedPiece(3, 6.0, 0, 9)]
+    >>> UrgentFirst().fill(pieces, 2, 5.0, 0.0)
+    (2, 1)
+    """
+
+    __slots__ = ()
+
+    def fill(
+        self, pieces: Sequence[QueuedPiece], batch: int, room_bytes: float, now: float
+    ) -> tuple[int, ...]:
+        """Return the numbers of the pieces of the next call."""
+        chosen: list[int] = []
+        for piece in sorted(pieces, key=lambda piece: _rank(piece, now)):
+            if len(chosen) == batch:
+                break
+            if piece.result_bytes <= room_bytes:
+                chosen.append(piece.number)
+                room_bytes -= piece.result_bytes
+        return tuple(chosen)
 
 
 @dataclass(frozen=True, slots=True)
 class StageEndpoint:
-    """An endpoint of the pool.
+    """An endpoint of a stage's pool.
 
     Attributes
     ----------
-    own_calls : int
-        This node's calls there.
-    is_resting : bool
-        Whether it refused a call just now or is ejected.
+    name, distance : str, Distance
+        Which one, and how far from this node.
+    backlog_s : float
+        Estimated time until it would begin with a new piece.
     """
 
     name: str
     distance: Distance
-    own_calls: int = 0
-    is_resting: bool = False
+    backlog_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Batch:
-    """The next call: its endpoint and its pieces."""
-
-    endpoint: str
-    numbers: tuple[int, ...]
-
-
-class BatchPolicy(ABC):
-    """Plans calls."""
+class StageEndpointPolicy(ABC):
+    """Chooses where the pieces of one stage are made."""
 
     @abstractmethod
-    def plan(
-        self,
-        pieces: Sequence[QueuedPiece],
-        endpoints: Sequence[StageEndpoint],
-        batch: int,
-        call_s: float,
-        now: float,
-    ) -> Batch | None:
-        """Return the next call, or None while pieces should wait."""
+    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
+        """Return one of `endpoints`, of which there is at least one."""
 
 
-class OneByOne(BatchPolicy):
-    """Baseline: each piece by itself, at the endpoint with the fewest calls."""
+class NearestStageEndpoint(StageEndpointPolicy):
+    """Baseline: the nearest, whatever waits there."""
 
     __slots__ = ()
 
-    def plan(
-        self,
-        pieces: Sequence[QueuedPiece],
-        endpoints: Sequence[StageEndpoint],
-        batch: int,
-        call_s: float,
-        now: float,
-    ) -> Batch | None:
-        """Return a call with the first piece."""
-        able = [endpoint for endpoint in endpoints if not endpoint.is_resting]
-        if not pieces or not able:
-            return None
-        least = min(able, key=lambda endpoint: (endpoint.own_calls, endpoint.name))
-        return Batch(least.name, (pieces[0].number,))
-
+    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
+        """Return the nearest endpoint."""
+        return min(endpoints, key=lambda endpoint: (endpoint.distance, endpoint.name))
 
-class UrgentFirst(BatchPolicy):
-    """One call at a time per endpoint, filled with the pieces that have least time.
 
-    Pieces gather while a call is under way, so calls fill by themselves as the load
-    grows. Endpoints nearby are used first; others once more than a call's worth waits.
+class SoonestStageEndpoint(StageEndpointPolicy):
+    """The one that begins first; distance counts as waiting time.
 
     Examples
     --------
-    >>> pieces = [QueuedPiece(1, 9.0, 0.0), QueuedPiece(2, 5.0, 0.0)]
-    >>> near = StageEndpoint("near", Distance.SAME_ZONE)
-    >>> UrgentFirst().plan(pieces, [near], 1, 0.15, 0.0)
-    Batch(endpoint='near', numbers=(2,))
+    >>> near = StageEndpoint("near", Distance.SAME_ZONE, 0.2)
+    >>> far = StageEndpoint("far", Distance.OTHER_REGION, 0.0)
+    >>> SoonestStageEndpoint().choose([near, far]).name
+    'near'
     """
 
     __slots__ = ()
 
-    def plan(
-        self,
-        pieces: Sequence[QueuedPiece],
-        endpoints: Sequence[StageEndpoint],
-        batch: int,
-        call_s: float,
-        now: float,
-    ) -> Batch | None:
-        """Return the next call, or None while every endpoint is busy."""
-        able = [endpoint for endpoint in endpoints if not endpoint.is_resting]
-        if not pieces or not able:
-            return None
-        nearest = min(endpoint.distance for endpoint in able)
-        near = [endpoint for endpoint in able if endpoint.distance == nearest]
-        free = [endpoint for endpoint in near if endpoint.own_calls == 0]
-        if not free and self._is_far_allowed(pieces, len(near), batch, call_s, now):
-            free = [endpoint for endpoint in able if endpoint.own_calls == 0]
-        if not free:
-            return None
-        chosen = min(free, key=lambda endpoint: (endpoint.distance, endpoint.name))
-        ordered = sorted(pieces, key=lambda piece: _rank(piece, now))
-        return Batch(chosen.name, tuple(piece.number for piece in ordered[:batch]))
-
-    def _is_far_allowed(
-        self,
-        pieces: Sequence[QueuedPiece],
-        near: int,
-        batch: int,
-        call_s: float,
-        now: float,
-    ) -> bool:
-        if len(pieces) > _CALLS_BEFORE_FAR * batch * near:
-            return True
-        longest_s = now - min(piece.queued_at for piece in pieces)
-        return longest_s > _CALLS_BEFORE_FAR * call_s
+    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
+        """Return the endpoint with the least wait."""
+        return min(
+            endpoints,
+            key=lambda endpoint: (
+                endpoint.backlog_s + _FARTHER_S[endpoint.distance],
+                endpoint.name,
+            ),
+        )
 
 
 def _rank(piece: QueuedPiece, now: float) -> tuple[bool, float]:
--- a/libs/entry/sapphirehoist/entry/operators.py
+++ b/libs/entry/sapphirehoist/entry/operators.py
@@ -29,8 +29,8 @@
 from sapphirehoist.observability import Metrics, Timeline
 from sapphirehoist.outcomes import NotRun, Reason
 from sapphirehoist.pipeline import Accounts
-from sapphirehoist.storage import Unavailable
 from sapphirehoist.settings import OperatorKey
+from sapphirehoist.storage import Unavailable
 
 _MAX_CHANGE_BYTES = 4 * 1024 * 1024
 _ACCEPT_WAIT_MOST_S = 30.0
--- a/libs/gateway/sapphirehoist/gateway/dialect.py
+++ b/libs/gateway/sapphirehoist/gateway/dialect.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from sapphirehoist.decisions import PromptPart
 from sapphirehoist.discovery import EndpointRecord
@@ -157,6 +157,10 @@
     key: str = ""
     inputs: tuple[str, ...] = ()
 
+    def within(self, remaining_s: float) -> PieceOrder:
+        """Return the same piece with another time left."""
+        return replace(self, remaining_s=remaining_s)
+
 
 @dataclass(frozen=True, slots=True)
 class PieceMade:
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -126,16 +127,62 @@
     body: bytes = b""
 
 
-class Attempts:
-    """State of one request's attempts."""
+class StageInputs(ABC):
+    """Results of the stages before, which take up space until they are released."""
 
-    __slots__ = ("is_under_way", "may_have_run", "sends", "tried")
+    @property
+    @abstractmethod
+    def handles(self) -> tuple[str, ...]:
+        """Return the handles that the request is sent with."""
 
-    def __init__(self) -> None:
-        self.is_under_way = False
+    @property
+    @abstractmethod
+    def is_released(self) -> bool:
+        """Return whether the results were given up."""
+
+    @abstractmethod
+    def release(self) -> None:
+        """Give up the results; an engine has read them, or nobody will."""
+
+
+class Progress:
+    """State of one request over all its attempts.
+
+    Parameters
+    ----------
+    relay : EventRelay
+        What the caller has of a stream.
+
+    Attributes
+    ----------
+    tried : set of str
+        Endpoints that were asked.
+    sends : int
+        Attempts of which something left this node.
+    may_have_run : bool
+        Whether an endpoint may have run the request.
+    is_under_way : bool
+        Whether an attempt has not ended.
+    first_head : ResponseHead or None
+        Head of the answer that the caller has a part of.
+    """
+
+    __slots__ = (
+        "first_head",
+        "is_under_way",
+        "may_have_run",
+        "relay",
+        "sends",
+        "tried",
+    )
+
+    def __init__(self, relay: EventRelay) -> None:
+        self.relay = relay
         self.tried: set[str] = set()
         self.sends = 0
         self.may_have_run = False
+        self.is_under_way = False
+        self.first_head: ResponseHead | None = None
 
 
 class Dispatcher:
@@ -191,61 +238,68 @@
     def run(
         self,
         job: Job,
-        inputs: tuple[str, ...] | None,
-        attempts: Attempts,
+        inputs: StageInputs | None,
+        progress: Progress,
         exchange: Exchange,
         trace: RequestTrace,
     ) -> DispatchOutcome:
         """Make attempts until one of them, or the lack of more, decides."""
-        relay = EventRelay(exchange, self._dialect.event_id, job.call.last_event)
-        first_head: ResponseHead | None = None
         last: _Ended | None = None
         while True:
-            refusal = self._may_attempt(job, attempts, last)
-            place = None if refusal else self._choose(job, attempts)
+            refusal = self._may_attempt(job, progress)
+            place = None if refusal else self._choose(job, progress)
             if place is None:
-                return self._give_up(job, attempts, last, relay, refusal)
+                return self._give_up(progress, last, refusal)
+            if inputs is not None and inputs.is_released:
+                return RebuildInputs()
+            progress.tried.add(place.name)
             record = self._pools.record(place.name)
             if record is None:
-                attempts.tried.add(place.name)
                 continue
-            attempts.tried.add(place.name)
-            started = self._clock.monotonic()
-            attempts.is_under_way = True
-            ended = self._attempt(
-                job, inputs, record, attempts, relay, first_head, trace
-            )
-            attempts.is_under_way = False
-            seconds = self._clock.monotonic() - started
-            trace.add_attempt(record.name, ended.end, seconds, place.load, ended.detail)
-            self._learn(job, record, ended, seconds, place)
-            if ended.end is not End.NOT_SENT:
-                attempts.sends += 1
-            attempts.may_have_run |= RULES[ended.end].may_have_run
-            if ended.end is End.BROKEN:
-                first_head = first_head or ended.head
-            last = ended
-            follows = what_follows(ended.end, job.route.is_repeatable)
+            last = self._try(job, inputs, record, place, progress, trace)
+            follows = what_follows(last.end, job.route.is_repeatable)
             if follows is Next.DELIVER:
-                return self._deliver(ended, relay, exchange)
+                return self._deliver(last, progress.relay, exchange)
             if follows is Next.REBUILD:
                 return RebuildInputs()
             if follows is Next.GIVE_UP:
-                return self._give_up(job, attempts, last, relay, None)
+                return self._give_up(progress, last, None)
 
-    def _may_attempt(
-        self, job: Job, attempts: Attempts, last: _Ended | None
-    ) -> Refusal | None:
+    def _try(
+        self,
+        job: Job,
+        inputs: StageInputs | None,
+        record: EndpointRecord,
+        place: Place,
+        progress: Progress,
+        trace: RequestTrace,
+    ) -> _Ended:
+        """Make one attempt and learn from its end."""
+        started = self._clock.monotonic()
+        progress.is_under_way = True
+        ended = self._attempt(job, inputs, record, progress, trace)
+        progress.is_under_way = False
+        seconds = self._clock.monotonic() - started
+        trace.add_attempt(record.name, ended.end, seconds, place.load, ended.detail)
+        self._learn(job, record, ended, seconds, place)
+        if ended.end is not End.NOT_SENT:
+            progress.sends += 1
+        progress.may_have_run |= RULES[ended.end].may_have_run
+        if ended.end is End.BROKEN:
+            progress.first_head = progress.first_head or ended.head
+        return ended
+
+    def _may_attempt(self, job: Job, progress: Progress) -> Refusal | None:
         if job.limit_at - self._clock.monotonic() < _LEAST_REMAINING_S:
             return Refusal(Reason.TIMEOUT_NOT_RUN, "no time left for an attempt")
-        if attempts.sends >= max(1, job.route.max_attempts):
+        if progress.sends >= max(1, job.route.max_attempts):
             return Refusal(Reason.ENDPOINTS_FULL, "no attempt left")
-        if attempts.sends and not self._budget.take(job.service.name):
+        if progress.sends and not self._budget.take(job.service.name):
             return Refusal(Reason.ENDPOINTS_FULL, "no repeat left in the budget")
         return None
 
-    def _choose(self, job: Job, attempts: Attempts) -> Place | None:
-        places = self._pools.places(job.service, attempts.tried)
+    def _choose(self, job: Job, progress: Progress) -> Place | None:
+        places = self._pools.places(job.service, progress.tried)
         if not places:
             return None
         work = self._work(job)
@@ -264,30 +318,31 @@
     def _attempt(
         self,
         job: Job,
-        inputs: tuple[str, ...] | None,
+        inputs: StageInputs | None,
         record: EndpointRecord,
-        attempts: Attempts,
-        relay: EventRelay,
-        first_head: ResponseHead | None,
+        progress: Progress,
         trace: RequestTrace,
     ) -> _Ended:
+        relay = progress.relay
         now = self._clock.monotonic()
         assignment = Assignment(
             record,
             min(job.deadline_at, job.limit_at) - now,
             job.team,
             _urgency(job),
-            inputs,
+            inputs.handles if inputs is not None else None,
             relay.last_event,
         )
         head = self._dialect.endpoint_head(job.request.head, assignment)
         outbound = OutboundRequest(head, job.request.body)
         generation = job.call.generation
-        tokens = generation.prompt_tokens + generation.output_tokens if generation else 0
+        tokens = (
+            generation.prompt_tokens + generation.output_tokens if generation else 0
+        )
         self._pools.loads.begin(record.name)
         self._pools.hold(record.name, tokens)
         reply: Reply | NotSent | Lost | None = None
-        patience_s = self._patience_s(job, attempts, now)
+        patience_s = self._patience_s(job, progress, now)
         timeout = gevent.Timeout(patience_s)
         timeout.start()
         try:
@@ -301,13 +356,13 @@
                 return _Ended(End.NOT_SENT, reply.detail)
             if isinstance(reply, Lost):
                 return _Ended(End.LOST, reply.detail)
-            return self._read(job, record, reply, relay, first_head, timeout, trace)
+            return self._read(job, record, reply, inputs, progress, timeout, trace)
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
             detail = f"{record.address}: nothing for {patience_s:.2f} s"
             end = End.BROKEN if relay.is_begun else End.LOST
-            return _Ended(end, detail, first_head)
+            return _Ended(end, detail, progress.first_head)
         finally:
             timeout.close()
             if isinstance(reply, Reply):
@@ -322,10 +377,10 @@
             return signs.request_id == call.request_id
         return signs.is_not_run
 
-    def _patience_s(self, job: Job, attempts: Attempts, now: float) -> float | None:
+    def _patience_s(self, job: Job, progress: Progress, now: float) -> float | None:
         """Return how long an attempt may take until its first bytes."""
         left_s = job.limit_at - now
-        if not job.route.is_repeatable or attempts.sends + 1 >= job.route.max_attempts:
+        if not job.route.is_repeatable or progress.sends + 1 >= job.route.max_attempts:
             return None
         if job.route.kind is CallKind.STREAMING:
             wanted_s = max(
@@ -339,8 +394,8 @@
         job: Job,
         record: EndpointRecord,
         reply: Reply,
-        relay: EventRelay,
-        first_head: ResponseHead | None,
+        inputs: StageInputs | None,
+        progress: Progress,
         timeout: gevent.Timeout,
         trace: RequestTrace,
     ) -> _Ended:
@@ -360,8 +415,8 @@
             reply.head.status, self._dialect.caller_headers(reply.head.headers)
         )
         if is_good and job.route.kind is CallKind.STREAMING:
-            head = first_head or caller_head
-            return self._relay(job, reply, relay, head, timeout, trace)
+            head = progress.first_head or caller_head
+            return self._relay(job, reply, inputs, progress, head, timeout, trace)
         body = reply.read_all()
         if isinstance(body, Broken):
             return _Ended(End.LOST, body.detail)
@@ -377,12 +432,13 @@
         self,
         job: Job,
         reply: Reply,
-        relay: EventRelay,
+        inputs: StageInputs | None,
+        progress: Progress,
         head: ResponseHead,
         timeout: gevent.Timeout,
         trace: RequestTrace,
     ) -> _Ended:
-        can_resume = job.route.is_repeatable
+        relay = progress.relay
         while True:
             block = reply.read_block()
             if isinstance(block, Broken):
@@ -396,7 +452,10 @@
                 if trace.first_event_s is None:
                     trace.first_event_s = trace.elapsed_s()
                 timeout.close()
-                if can_resume:
+                if inputs is not None and not inputs.is_released:
+                    # A first event means that the engine has read its inputs.
+                    inputs.release()
+                if job.route.is_repeatable:
                     reply.limit_gap(_EVENT_GAP_S)
         if relay.has_partial:
             relay.forget_partial()
@@ -405,7 +464,12 @@
         return _Ended(End.ANSWERED, "", head)
 
     def _learn(
-        self, job: Job, record: EndpointRecord, ended: _Ended, seconds: float, place: Place
+        self,
+        job: Job,
+        record: EndpointRecord,
+        ended: _Ended,
+        seconds: float,
+        place: Place,
     ) -> None:
         loads = self._pools.loads
         self._metrics.count(
@@ -435,17 +499,12 @@
         return Delivered(ended.head.status)
 
     def _give_up(
-        self,
-        job: Job,
-        attempts: Attempts,
-        last: _Ended | None,
-        relay: EventRelay,
-        refusal: Refusal | None,
+        self, progress: Progress, last: _Ended | None, refusal: Refusal | None
     ) -> DispatchOutcome:
         detail = last.detail if last is not None else ""
-        if relay.is_begun:
+        if progress.relay.is_begun:
             return CutOff(detail)
-        if attempts.may_have_run:
+        if progress.may_have_run:
             if last is not None and last.end is End.ENDPOINT_FAILED:
                 assert last.head is not None
                 if last.head.status not in _PROMISES:
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -13,18 +13,19 @@
 from sapphirehoist.decisions import SharedRetryBudget
 from sapphirehoist.gateway.dialect import BadCall, Call, CallDialect
 from sapphirehoist.gateway.dispatch import (
-    Attempts,
     CutOff,
     Delivered,
     Dispatcher,
     DispatchOutcome,
     EndpointFailure,
     Job,
+    Progress,
     RebuildInputs,
 )
 from sapphirehoist.gateway.refusals import Reason, Refusal
-from sapphirehoist.gateway.stage_pool import StagePools
-from sapphirehoist.gateway.stage_runner import ResultReleaser, StageJob, StagesFailed
+from sapphirehoist.gateway.relay import EventRelay
+from sapphirehoist.gateway.stage_pools import StagePools
+from sapphirehoist.gateway.stage_runner import StageJob, StagesFailed
 from sapphirehoist.gateway.trace import RequestTrace
 from sapphirehoist.http1 import CallerLeft, CallerRequest, Exchange
 from sapphirehoist.observability import Metrics
@@ -36,6 +37,8 @@
 _RETRY_CONFIGURATION_S = 0.5
 # Callers go on to another node at once.
 _RETRY_STOPPING_S = 0.02
+# Stage pools that could not serve have worked off a few calls by then.
+_RETRY_STAGES_S = 0.5
 # Returns are spread over this part of the time to come back.
 _RETRY_SPREAD = 0.5
 # Stages are made anew this often for one request.
@@ -65,11 +68,9 @@
     dialect : CallDialect
         Decodes requests.
     dispatcher : Dispatcher
-        Makes attempts.
+        Makes progress.
     stages : StagePools
         Makes pieces.
-    releaser : ResultReleaser
-        Gives up results.
     budget : SharedRetryBudget
         Counts requests.
     is_refusing : callable
@@ -86,7 +87,6 @@
         "_is_refusing",
         "_metrics",
         "_random",
-        "_releaser",
         "_stages",
         "_table",
         "under_way",
@@ -98,7 +98,6 @@
         dialect: CallDialect,
         dispatcher: Dispatcher,
         stages: StagePools,
-        releaser: ResultReleaser,
         budget: SharedRetryBudget,
         is_refusing: Callable[[], bool],
         clock: Clock,
@@ -109,7 +108,6 @@
         self._dialect = dialect
         self._dispatcher = dispatcher
         self._stages = stages
-        self._releaser = releaser
         self._budget = budget
         self._is_refusing = is_refusing
         self._clock = clock
@@ -144,35 +142,32 @@
         job = self._job(request, let_in)
         self._budget.count_request(job.service.name)
         timeout = gevent.Timeout(max(0.001, job.limit_at - self._clock.monotonic()))
-        attempts = Attempts()
+        relay = EventRelay(exchange, self._dialect.event_id, job.call.last_event)
+        progress = Progress(relay)
         timeout.start()
         try:
-            return self._run(job, attempts, exchange, trace)
+            return self._run(job, progress, exchange, trace)
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
-            return self._timed_out(attempts, exchange)
+            return self._timed_out(progress, exchange)
         finally:
             timeout.close()
 
-    def _timed_out(self, attempts: Attempts, exchange: Exchange) -> DispatchOutcome:
+    def _timed_out(self, progress: Progress, exchange: Exchange) -> DispatchOutcome:
         if exchange.is_begun:
             return CutOff("no time left for the rest of the answer")
-        if attempts.may_have_run or attempts.is_under_way:
+        if progress.may_have_run or progress.is_under_way:
             return Refusal(Reason.TIMEOUT, "no answer in time")
         return Refusal(Reason.TIMEOUT_NOT_RUN, "not run in time", 0.1)
 
-    def _let_in(
-        self, request: CallerRequest, trace: RequestTrace
-    ) -> _LetIn | Refusal:
+    def _let_in(self, request: CallerRequest, trace: RequestTrace) -> _LetIn | Refusal:
         """Look up everything that the request needs, or say why it is refused."""
         if self._is_refusing():
             return Refusal(Reason.STOPPING, "this node stops", _RETRY_STOPPING_S)
         table = self._table()
         if table is None:
-            return Refusal(
-                Reason.NO_CONFIGURATION, "none yet", _RETRY_CONFIGURATION_S
-            )
+            return Refusal(Reason.NO_CONFIGURATION, "none yet", _RETRY_CONFIGURATION_S)
         trace.config_version = table.version
         call = self._dialect.read_call(request.head)
         if isinstance(call, BadCall):
@@ -212,10 +207,10 @@
         )
 
     def _run(
-        self, job: Job, attempts: Attempts, exchange: Exchange, trace: RequestTrace
+        self, job: Job, progress: Progress, exchange: Exchange, trace: RequestTrace
     ) -> DispatchOutcome:
         if not job.route.stages:
-            return self._dispatcher.run(job, None, attempts, exchange, trace)
+            return self._dispatcher.run(job, None, progress, exchange, trace)
         stages = StageJob(
             job.call,
             job.route,
@@ -223,13 +218,12 @@
             job.target_at,
             job.priority,
             self._stages,
-            self._releaser,
         )
         for service in stages.services():
             self._budget.count_request(service)
         trace.pieces = stages.piece_count
         try:
-            return self._run_stages(stages, job, attempts, exchange, trace)
+            return self._run_stages(stages, job, progress, exchange, trace)
         finally:
             stages.release()
 
@@ -237,20 +231,29 @@
         self,
         stages: StageJob,
         job: Job,
-        attempts: Attempts,
+        progress: Progress,
         exchange: Exchange,
         trace: RequestTrace,
     ) -> DispatchOutcome:
         for _ in range(_REBUILDS + 1):
-            inputs = stages.run()
+            failed = stages.run()
             trace.stages_s = trace.elapsed_s()
-            if isinstance(inputs, StagesFailed):
-                return Refusal(Reason.STAGE_FAILED, inputs.detail, 0.5)
-            outcome = self._dispatcher.run(job, inputs, attempts, exchange, trace)
+            if failed is not None:
+                return self._stages_failed(failed, progress)
+            outcome = self._dispatcher.run(job, stages, progress, exchange, trace)
             if not isinstance(outcome, RebuildInputs):
                 return outcome
             stages.release()
-        return Refusal(Reason.STAGE_FAILED, "results of the stages were gone", 0.2)
+        return self._stages_failed(StagesFailed("results gone twice"), progress)
+
+    def _stages_failed(
+        self, failed: StagesFailed, progress: Progress
+    ) -> DispatchOutcome:
+        if progress.relay.is_begun:
+            return CutOff(failed.detail)
+        if progress.may_have_run:
+            return Refusal(Reason.ENDPOINT_LOST, failed.detail)
+        return Refusal(Reason.STAGE_FAILED, failed.detail, _RETRY_STAGES_S)
 
     def _finish(
         self, outcome: DispatchOutcome, exchange: Exchange, trace: RequestTrace
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -15,6 +15,7 @@
     LoadBook,
     PredictedPlacement,
     SharedRetryBudget,
+    SoonestStageEndpoint,
     UrgentFirst,
 )
 from sapphirehoist.discovery import (
@@ -30,8 +31,8 @@
 from sapphirehoist.gateway.handler import RequestHandler
 from sapphirehoist.gateway.meeting import MeetingPlace
 from sapphirehoist.gateway.pools import EndpointPools
-from sapphirehoist.gateway.stage_pool import StagePools
-from sapphirehoist.gateway.stage_runner import ResultReleaser
+from sapphirehoist.gateway.stage_pools import StagePools
+from sapphirehoist.gateway.stage_queue import QueueParts
 from sapphirehoist.http1 import CallerServer, EndpointConnections
 from sapphirehoist.membership import DetectorTimes, FailureDetector, Fleet, Member
 from sapphirehoist.observability import Metrics, Timeline
@@ -140,7 +141,6 @@
             self._meeting.run,
             self._detector.run,
             self._stages.run,
-            self._releaser.run,
             self._keep_house,
         ):
             self._tasks.append(gevent.spawn(run))
@@ -245,18 +245,22 @@
             lambda: len(self.fleet.present()) + len(self.fleet.dead()),
             clock,
         )
-        self._stages = StagePools(
+        parts_of_queues = QueueParts(
             pools,
             UrgentFirst(),
             self._connections,
             parts.dialect,
             budget,
-            self._table,
             clock,
             self.metrics,
         )
-        self._releaser = ResultReleaser(
-            self._connections, parts.dialect, clock, self.metrics
+        self._stages = StagePools(
+            self.fleet,
+            self._bus,
+            self.directory,
+            SoonestStageEndpoint(),
+            parts_of_queues,
+            self._table,
         )
         dispatcher = Dispatcher(
             pools,
@@ -273,7 +277,6 @@
             parts.dialect,
             dispatcher,
             self._stages,
-            self._releaser,
             budget,
             lambda: self._is_refusing,
             clock,
--- a/libs/gateway/sapphirehoist/gateway/pools.py
+++ b/libs/gateway/sapphirehoist/gateway/pools.py
@@ -43,9 +43,13 @@
 
     def distance(self, record: EndpointRecord) -> Distance:
         """Return how far `record` is from this node."""
-        if record.zone == self._zone:
+        return self.distance_between(self._zone, record.zone)
+
+    def distance_between(self, zone: str, other: str) -> Distance:
+        """Return how far two availability zones are from each other."""
+        if zone == other:
             return Distance.SAME_ZONE
-        if self._regions.get(record.zone) == self._regions.get(self._zone):
+        if self._regions.get(zone, zone) == self._regions.get(other, other):
             return Distance.SAME_REGION
         return Distance.OTHER_REGION
 
@@ -59,7 +63,9 @@
 
     def places(self, service: Service, tried: Collection[str]) -> list[Place]:
         """Return the places that may be tried; ejected ones only if no other is left."""
-        records = [r for r in self._directory.in_service(service.name) if r.name not in tried]
+        records = [
+            r for r in self._directory.in_service(service.name) if r.name not in tried
+        ]
         able = [r for r in records if not self.loads.is_ejected(r.name)]
         return [self._place(record, service) for record in able or records]
 
--- /dev/null
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -0,0 +1,413 @@
+"""Brings the pieces of all nodes for one endpoint together at one node.
+
+Each endpoint of a stage's pool is owned by one of the nodes near it, chosen by
+rendezvous over the nodes that serve. The owner fills calls from all nodes' pieces and
+knows what space results take up. Nodes that disagree about the owner, for as long as
+their views of the fleet differ, only fill calls less well.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable, Sequence
+from typing import ClassVar
+
+import gevent
+
+from sapphirehoist.clock import Clock
+from sapphirehoist.decisions import (
+    Distance,
+    StageEndpoint,
+    StageEndpointPolicy,
+    rendezvous_score,
+)
+from sapphirehoist.discovery import (
+    Departure,
+    EndpointDirectory,
+    EndpointPhase,
+    EndpointRecord,
+)
+from sapphirehoist.gateway.dialect import PieceFailed, PieceMade, PieceOrder
+from sapphirehoist.gateway.pools import EndpointPools
+from sapphirehoist.gateway.stage_queue import (
+    REASON_LOST,
+    EndpointQueue,
+    Piece,
+    QueueParts,
+)
+from sapphirehoist.http1 import EndpointConnections, Reply
+from sapphirehoist.membership import Fleet, Member
+from sapphirehoist.peers import NoReply, PeerBus, PeerMessage
+from sapphirehoist.routes import RouteTable, StagePool
+
+# Beyond the backlog that an owner told, it has this long before it is given up.
+_OWNER_PATIENCE_CALLS = 5.0
+_OWNER_PATIENCE_S = 0.8
+# Results that are no longer needed are given up together, soon.
+_RELEASE_EVERY_S = 0.05
+_RELEASE_TIMEOUT_S = 1.0
+_HANDLES_PER_CALL = 200
+
+_logger = logging.getLogger(__name__)
+
+
+class MakeRequest(PeerMessage, frozen=True, array_like=True):
+    """Asks an endpoint's owner for pieces of one request.
+
+    Attributes
+    ----------
+    endpoint : str
+        Where they are to be made.
+    orders : list of PieceOrder
+        The pieces.
+    limit_s, target_s : float
+        Time until they are of no use, and until their request should be answered.
+    priority, result_bytes : int
+        Rank of the request; size of each result.
+    """
+
+    KIND: ClassVar[str] = "gateway.make"
+
+    endpoint: str
+    orders: list[PieceOrder]
+    limit_s: float
+    target_s: float
+    priority: int
+    result_bytes: int
+
+
+class MakeReply(PeerMessage, frozen=True, array_like=True):
+    """One entry for each piece, in order.
+
+    Attributes
+    ----------
+    handles : list of str
+        Handle of each result; empty where there is none.
+    reasons : list of str
+        Why there is none.
+    backlog_s : float
+        Time until the endpoint would begin with a new piece.
+    """
+
+    KIND: ClassVar[str] = "gateway.made"
+
+    handles: list[str]
+    reasons: list[str]
+    backlog_s: float
+
+
+class ReleaseNews(PeerMessage, frozen=True, array_like=True):
+    """Results at an endpoint are no longer needed."""
+
+    KIND: ClassVar[str] = "gateway.release"
+
+    endpoint: str
+    handles: list[str]
+
+
+class CancelNews(PeerMessage, frozen=True, array_like=True):
+    """A request no longer waits for pieces of an endpoint."""
+
+    KIND: ClassVar[str] = "gateway.cancel"
+
+    endpoint: str
+    request_id: str
+
+
+class _Backlog:
+    """What is known of the wait at an endpoint that another node owns."""
+
+    __slots__ = ("at", "reported_s")
+
+    def __init__(self, reported_s: float, at: float) -> None:
+        self.reported_s = reported_s
+        self.at = at
+
+
+class StagePools:
+    """Has pieces made, by this node's queues or by other owners.
+
+    Parameters
+    ----------
+    fleet, bus : Fleet, PeerBus
+        Other nodes.
+    directory : EndpointDirectory
+        Endpoints.
+    choice : StageEndpointPolicy
+        Chooses endpoints.
+    parts : QueueParts
+        What every queue shares.
+    table : callable
+        Returns the configuration in force.
+    """
+
+    __slots__ = (
+        "_backlogs",
+        "_bus",
+        "_choice",
+        "_clock",
+        "_connections",
+        "_directory",
+        "_fleet",
+        "_outstanding",
+        "_parts",
+        "_pools",
+        "_queues",
+        "_released",
+        "_table",
+    )
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        bus: PeerBus,
+        directory: EndpointDirectory,
+        choice: StageEndpointPolicy,
+        parts: QueueParts,
+        table: Callable[[], RouteTable | None],
+    ) -> None:
+        self._fleet = fleet
+        self._bus = bus
+        self._directory = directory
+        self._choice = choice
+        self._parts = parts
+        self._table = table
+        self._clock: Clock = parts.clock
+        self._pools: EndpointPools = parts.pools
+        self._connections: EndpointConnections = parts.connections
+        self._queues: dict[str, EndpointQueue] = {}
+        self._backlogs: dict[str, _Backlog] = {}
+        self._outstanding: Counter[str] = Counter()
+        self._released: dict[str, list[str]] = {}
+        bus.subscribe(MakeRequest, self._handle_make)
+        bus.subscribe(ReleaseNews, self._handle_release)
+        bus.subscribe(CancelNews, self._handle_cancel)
+        directory.on_departure(self._on_departure)
+
+    def choose(self, service: str, avoid: str = "") -> EndpointRecord | None:
+        """Return the endpoint that should make the next pieces of `service`."""
+        records = self._directory.in_service(service)
+        able = [r for r in records if not self._pools.loads.is_ejected(r.name)]
+        others = [r for r in able if r.name != avoid]
+        candidates = others or able or records
+        if not candidates:
+            return None
+        chosen = self._choice.choose(
+            [
+                StageEndpoint(r.name, self._pools.distance(r), self.backlog_s(r))
+                for r in candidates
+            ]
+        )
+        return self._directory.get(chosen.name)
+
+    def backlog_s(self, record: EndpointRecord) -> float:
+        """Return the estimated time until `record` would begin with a new piece."""
+        queue = self._queues.get(record.name)
+        if queue is not None and self._owner(record) is None:
+            return queue.backlog_s()
+        known = self._backlogs.get(record.name)
+        reported_s = 0.0
+        if known is not None:
+            reported_s = max(0.0, known.reported_s - self._clock.monotonic() + known.at)
+        spec = self._spec(record.service)
+        if spec is None:
+            return reported_s
+        call_s = spec.call_s + spec.batch * spec.piece_s
+        own_s = self._outstanding[record.name] / spec.batch * call_s
+        return max(reported_s, own_s)
+
+    def make(self, record: EndpointRecord, pieces: Sequence[Piece]) -> None:
+        """Have pieces of one request made at `record`; sets each one's result."""
+        owner = self._owner(record)
+        if owner is None:
+            self._queue(record).submit(pieces)
+            return
+        gevent.spawn(self._ask, owner, record, pieces)
+
+    def cancel(self, endpoint: str, request_id: str) -> None:
+        """Say that a request no longer waits for pieces of `endpoint`."""
+        record = self._directory.get(endpoint)
+        owner = self._owner(record) if record is not None else None
+        if owner is not None:
+            self._bus.tell(owner.peer_address, CancelNews(endpoint, request_id))
+        elif endpoint in self._queues:
+            self._queues[endpoint].cancel(request_id)
+
+    def release(self, endpoint: str, handle: str) -> None:
+        """Give up a result soon."""
+        self._released.setdefault(endpoint, []).append(handle)
+
+    def run(self) -> None:
+        """Pass released results on, until killed."""
+        while True:
+            self._clock.sleep(_RELEASE_EVERY_S)
+            released, self._released = self._released, {}
+            for endpoint, handles in released.items():
+                self._pass_release(endpoint, handles)
+
+    def _spec(self, service: str) -> StagePool | None:
+        table = self._table()
+        found = table.service(service) if table is not None else None
+        return found.stage_pool if found is not None else None
+
+    def _owner(self, record: EndpointRecord) -> Member | None:
+        """Return the node that owns `record`; None where this node does."""
+        members = [m for m in self._fleet.present() if self._fleet.is_serving(m.vm)]
+        near: list[Member] = []
+        for distance in Distance:
+            near = [m for m in members if self._distance(m, record) == distance]
+            if near:
+                break
+        if not near:
+            return None
+        best = max(near, key=lambda m: rendezvous_score(record.name, m.vm))
+        return None if best.vm == self._fleet.member.vm else best
+
+    def _distance(self, member: Member, record: EndpointRecord) -> Distance:
+        return self._pools.distance_between(member.zone, record.zone)
+
+    def _queue(self, record: EndpointRecord) -> EndpointQueue:
+        queue = self._queues.get(record.name)
+        if queue is None or queue.record.born_ms != record.born_ms:
+            service = record.service
+            queue = EndpointQueue(record, lambda: self._spec(service), self._parts)
+            self._queues[record.name] = queue
+        return queue
+
+    def _ask(
+        self, owner: Member, record: EndpointRecord, pieces: Sequence[Piece]
+    ) -> None:
+        """Have an owner make pieces; without an answer, make them here."""
+        now = self._clock.monotonic()
+        first = pieces[0]
+        request = MakeRequest(
+            record.name,
+            [piece.order for piece in pieces],
+            first.limit_at - now,
+            first.target_at - now,
+            first.priority,
+            first.result_bytes,
+        )
+        patience_s = min(first.limit_at - now, self._patience_s(record))
+        self._outstanding[record.name] += len(pieces)
+        try:
+            reply = self._bus.ask(
+                owner.peer_address, request, MakeReply, max(0.01, patience_s)
+            )
+        finally:
+            self._outstanding[record.name] -= len(pieces)
+        if isinstance(reply, NoReply) or len(reply.handles) != len(pieces):
+            self._without_owner(owner, record, pieces, patience_s)
+            return
+        self._backlogs[record.name] = _Backlog(reply.backlog_s, self._clock.monotonic())
+        results = zip(pieces, reply.handles, reply.reasons, strict=True)
+        for piece, handle, reason in results:
+            piece.result.set(PieceMade(handle) if handle else PieceFailed(reason))
+
+    def _patience_s(self, record: EndpointRecord) -> float:
+        spec = self._spec(record.service)
+        if spec is None:
+            return _OWNER_PATIENCE_S
+        call_s = spec.call_s + spec.batch * spec.piece_s
+        backlog_s = self.backlog_s(record)
+        return backlog_s + _OWNER_PATIENCE_CALLS * call_s + _OWNER_PATIENCE_S
+
+    def _without_owner(
+        self,
+        owner: Member,
+        record: EndpointRecord,
+        pieces: Sequence[Piece],
+        waited_s: float,
+    ) -> None:
+        _logger.info(
+            "owner gave no answer",
+            extra={
+                "request_id": pieces[0].order.request_id,
+                "owner": owner.vm,
+                "endpoint": record.name,
+                "waited_ms": round(waited_s * 1000, 1),
+            },
+        )
+        wanted = [piece for piece in pieces if not piece.is_cancelled]
+        if self._directory.get(record.name) is record:
+            self._queue(record).submit(wanted)
+            return
+        for piece in wanted:
+            piece.result.set(PieceFailed(REASON_LOST))
+
+    def _handle_make(self, sender: str, request: MakeRequest) -> MakeReply:
+        record = self._directory.get(request.endpoint)
+        count = len(request.orders)
+        if record is None:
+            return MakeReply([""] * count, [REASON_LOST] * count, 0.0)
+        now = self._clock.monotonic()
+        pieces = [
+            Piece(
+                order,
+                now + request.limit_s,
+                now + request.target_s,
+                request.priority,
+                request.result_bytes,
+            )
+            for order in request.orders
+        ]
+        queue = self._queue(record)
+        queue.submit(pieces)
+        results = [piece.result.get() for piece in pieces]
+        handles = [r.handle if isinstance(r, PieceMade) else "" for r in results]
+        reasons = [r.reason if isinstance(r, PieceFailed) else "" for r in results]
+        return MakeReply(handles, reasons, queue.backlog_s())
+
+    def _handle_release(self, sender: str, news: ReleaseNews) -> None:
+        self._release_here(news.endpoint, news.handles)
+
+    def _handle_cancel(self, sender: str, news: CancelNews) -> None:
+        queue = self._queues.get(news.endpoint)
+        if queue is not None:
+            queue.cancel(news.request_id)
+
+    def _pass_release(self, endpoint: str, handles: list[str]) -> None:
+        record = self._directory.get(endpoint)
+        if record is None:
+            return
+        owner = self._owner(record)
+        if owner is None:
+            self._release_here(endpoint, handles)
+        else:
+            self._bus.tell(owner.peer_address, ReleaseNews(endpoint, handles))
+
+    def _release_here(self, endpoint: str, handles: list[str]) -> None:
+        record = self._directory.get(endpoint)
+        if record is None:
+            return
+        queue = self._queues.get(endpoint)
+        if queue is not None:
+            for handle in handles:
+                queue.space.release(handle)
+        for first in range(0, len(handles), _HANDLES_PER_CALL):
+            part = handles[first : first + _HANDLES_PER_CALL]
+            gevent.spawn(self._send_release, record, part)
+
+    def _send_release(self, record: EndpointRecord, handles: list[str]) -> None:
+        """Ask once: results that are not given up lapse by themselves."""
+        self._parts.metrics.count("stage_results_released_total", len(handles))
+        with gevent.Timeout(_RELEASE_TIMEOUT_S, False):
+            reply = self._connections.call(
+                record.address,
+                self._parts.dialect.free_request(handles),
+                lambda head: True,
+            )
+            if isinstance(reply, Reply):
+                reply.read_all()
+                reply.close()
+
+    def _on_departure(self, departure: Departure, record: EndpointRecord) -> None:
+        """Let waiting pieces go elsewhere when their endpoint leaves."""
+        queue = self._queues.get(record.name)
+        if queue is None:
+            return
+        queue.fail_all(REASON_LOST)
+        if departure.phase is EndpointPhase.GONE:
+            del self._queues[record.name]
+            queue.close()
--- /dev/null
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -0,0 +1,380 @@
+"""Pieces that wait for one endpoint, and the calls that make them, one at a time."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+
+import gevent
+from gevent.event import AsyncResult, Event
+
+from sapphirehoist.clock import Clock
+from sapphirehoist.decisions import BatchPolicy, QueuedPiece, SharedRetryBudget
+from sapphirehoist.discovery import EndpointRecord
+from sapphirehoist.gateway.dialect import (
+    BadCall,
+    CallDialect,
+    PieceFailed,
+    PieceMade,
+    PieceOrder,
+    StageResults,
+)
+from sapphirehoist.gateway.pools import EndpointPools
+from sapphirehoist.http1 import Broken, EndpointConnections, Lost, NotSent, Reply
+from sapphirehoist.observability import Metrics
+from sapphirehoist.routes import StagePool
+
+_STATUS_OK = 200
+# A call may wait behind others and run on a slow endpoint.
+_PATIENCE_CALLS = 4.0
+_PATIENCE_EXTRA_S = 0.3
+# An endpoint that was full or had no room is asked again after about half a call.
+_REST_S = 0.08
+# Sends of one piece, the first included.
+_MAX_SENDS = 3
+# Sizes of results are approximate.
+_SIZE_MARGIN = 1.1
+_IDLE_LOOK_S = 0.25
+REASON_LOST = "lost"
+REASON_LATE = "late"
+REASON_ROOM = "room"
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, eq=False)
+class Piece:
+    """A piece that a request waits for.
+
+    Attributes
+    ----------
+    order : PieceOrder
+        What is asked for.
+    limit_at, target_at : float
+        Monotonic times: after the first it is of no use; by the second its request
+        should begin to be answered.
+    priority : int
+        Rank of its request.
+    result_bytes : int
+        Approximate size of its result.
+    result : AsyncResult
+        Gets `PieceMade` or `PieceFailed`.
+    """
+
+    order: PieceOrder
+    limit_at: float
+    target_at: float
+    priority: int
+    result_bytes: int
+    result: AsyncResult = field(default_factory=AsyncResult)
+    sends: int = 0
+    is_cancelled: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class QueueParts:
+    """What every queue of a node shares."""
+
+    pools: EndpointPools
+    policy: BatchPolicy
+    connections: EndpointConnections
+    dialect: CallDialect
+    budget: SharedRetryBudget
+    clock: Clock
+    metrics: Metrics
+
+
+class ResultSpace:
+    """Space that results take up at one endpoint, as far as this node knows.
+
+    Parameters
+    ----------
+    clock : Clock
+        Lets results lapse.
+
+    Examples
+    --------
+    >>> from sapphirehoist.clock import ManualClock
+    >>> space = ResultSpace(ManualClock())
+    >>> space.take("h", 100, 4.0)
+    >>> space.used()
+    100
+    >>> space.release("h")
+    >>> space.used()
+    0
+    """
+
+    __slots__ = ("_clock", "_held")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._held: dict[str, tuple[int, float]] = {}
+
+    def take(self, handle: str, size: int, keep_s: float) -> None:
+        """Count a result until it is released or lapses."""
+        self._held[handle] = (size, self._clock.monotonic() + keep_s)
+
+    def release(self, handle: str) -> None:
+        """Count a result as given up."""
+        self._held.pop(handle, None)
+
+    def used(self) -> int:
+        """Return the bytes that are taken up."""
+        now = self._clock.monotonic()
+        self._held = {h: held for h, held in self._held.items() if held[1] > now}
+        return sum(size for size, _ in self._held.values())
+
+
+class EndpointQueue:
+    """Makes pieces at one endpoint.
+
+    Pieces gather while a call is under way, so calls fill by themselves as load grows.
+
+    Parameters
+    ----------
+    record : EndpointRecord
+        The endpoint.
+    spec : callable
+        Returns how its pool works, in the configuration in force.
+    parts : QueueParts
+        Shared parts.
+    """
+
+    __slots__ = (
+        "_call_ends_at",
+        "_has_pieces",
+        "_numbers",
+        "_parts",
+        "_pieces",
+        "_spec",
+        "_task",
+        "record",
+        "space",
+    )
+
+    def __init__(
+        self,
+        record: EndpointRecord,
+        spec: Callable[[], StagePool | None],
+        parts: QueueParts,
+    ) -> None:
+        self.record = record
+        self.space = ResultSpace(parts.clock)
+        self._spec = spec
+        self._parts = parts
+        self._numbers = count(1)
+        self._pieces: dict[int, Piece] = {}
+        self._has_pieces = Event()
+        self._call_ends_at = 0.0
+        self._task = gevent.spawn(self._run)
+
+    def submit(self, pieces: Sequence[Piece]) -> None:
+        """Queue pieces; their results are set when a call brought them."""
+        for piece in pieces:
+            self._pieces[next(self._numbers)] = piece
+        self._has_pieces.set()
+
+    def cancel(self, request_id: str) -> None:
+        """Drop the pieces of a request that wait."""
+        for number, piece in list(self._pieces.items()):
+            if piece.order.request_id == request_id:
+                piece.is_cancelled = True
+                del self._pieces[number]
+
+    def backlog_s(self) -> float:
+        """Return the estimated time until a new piece would be begun."""
+        spec = self._spec()
+        if spec is None:
+            return 0.0
+        call_s = spec.call_s + spec.batch * spec.piece_s
+        under_way_s = max(0.0, self._call_ends_at - self._parts.clock.monotonic())
+        return under_way_s + len(self._pieces) / spec.batch * call_s
+
+    def fail_all(self, reason: str) -> None:
+        """End every piece that waits; the endpoint takes no more."""
+        pieces, self._pieces = list(self._pieces.values()), {}
+        for piece in pieces:
+            piece.result.set(PieceFailed(reason))
+
+    def close(self) -> None:
+        """Stop once the call under way has ended."""
+        self.fail_all(REASON_LOST)
+        if not self._call_ends_at:
+            self._task.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            if not self._pieces:
+                self._has_pieces.clear()
+                self._has_pieces.wait()
+            spec = self._spec()
+            if spec is None:
+                self.fail_all("no such pool")
+                continue
+            pieces = self._next_pieces(spec)
+            if not pieces:
+                # Space becomes free by releases and with time.
+                self._parts.clock.sleep(_REST_S / 2)
+                continue
+            self._make(spec, pieces)
+
+    def _next_pieces(self, spec: StagePool) -> list[Piece]:
+        now = self._parts.clock.monotonic()
+        for number, piece in list(self._pieces.items()):
+            if piece.limit_at <= now:
+                del self._pieces[number]
+                piece.result.set(PieceFailed(REASON_LATE))
+        room = spec.room_bytes - self.space.used() if spec.room_bytes else float("inf")
+        numbers = self._parts.policy.fill(
+            [
+                QueuedPiece(
+                    n, p.target_at, p.priority, int(p.result_bytes * _SIZE_MARGIN)
+                )
+                for n, p in self._pieces.items()
+            ],
+            spec.batch,
+            room,
+            now,
+        )
+        return [self._pieces.pop(number) for number in numbers]
+
+    def _make(self, spec: StagePool, pieces: list[Piece]) -> None:
+        parts, name = self._parts, self.record.name
+        started = parts.clock.monotonic()
+        expected_s = spec.call_s + len(pieces) * spec.piece_s
+        self._call_ends_at = started + expected_s
+        parts.pools.loads.begin(name)
+        try:
+            outcome = self._exchange(pieces, started, expected_s)
+        finally:
+            parts.pools.loads.end(name)
+            self._call_ends_at = 0.0
+        elapsed_s = parts.clock.monotonic() - started
+        service = self.record.service
+        parts.metrics.count("stage_calls_total", service=service)
+        parts.metrics.count("stage_pieces_total", len(pieces), service=service)
+        parts.metrics.observe_latency("stage_call_seconds", elapsed_s)
+        if isinstance(outcome, StageResults):
+            parts.pools.loads.succeed(name, elapsed_s / expected_s, 1.0)
+            self._deliver(spec, pieces, outcome)
+        else:
+            self._send_again(pieces, outcome, elapsed_s)
+
+    def _exchange(
+        self, pieces: list[Piece], started: float, expected_s: float
+    ) -> StageResults | NotSent | Lost | PieceFailed:
+        """Return the results, or how the call failed; `PieceFailed` is "not run"."""
+        orders = []
+        for piece in pieces:
+            piece.sends += 1
+            remaining_s = max(0.0, piece.limit_at - started)
+            orders.append(piece.order.within(remaining_s))
+        latest_s = max(piece.limit_at for piece in pieces) - started
+        patience_s = min(latest_s, _PATIENCE_CALLS * expected_s + _PATIENCE_EXTRA_S)
+        timeout = gevent.Timeout(max(0.05, patience_s))
+        reply: Reply | NotSent | Lost | None = None
+        timeout.start()
+        try:
+            # Answers to calls name no request, so a connection serves one call only:
+            # a late answer on it could not be told from the next one's.
+            reply = self._parts.connections.call(
+                self.record.address,
+                self._parts.dialect.stage_request(self.record, orders),
+                lambda head: True,
+                freshest_s=0.0,
+            )
+            if not isinstance(reply, Reply):
+                return reply
+            return self._read(reply, len(pieces))
+        except gevent.Timeout as exc:
+            if exc is not timeout:
+                raise
+            return Lost(f"{self.record.address}: no results for {patience_s:.2f} s")
+        finally:
+            timeout.close()
+            if isinstance(reply, Reply):
+                reply.discard()
+
+    def _read(self, reply: Reply, expected: int) -> StageResults | Lost | PieceFailed:
+        address, dialect = self.record.address, self._parts.dialect
+        signs = dialect.read_signs(reply.head)
+        self._parts.pools.take_report(self.record.name, signs.load)
+        if signs.is_not_run:
+            return PieceFailed(f"status {reply.head.status}")
+        body = reply.read_all()
+        if isinstance(body, Broken):
+            return Lost(body.detail)
+        if reply.head.status != _STATUS_OK:
+            return Lost(f"{address}: status {reply.head.status}")
+        results = dialect.read_stage_results(body, expected)
+        if isinstance(results, BadCall):
+            return Lost(f"{address}: {results.detail}")
+        return results
+
+    def _deliver(
+        self, spec: StagePool, pieces: list[Piece], outcome: StageResults
+    ) -> None:
+        for piece, result in zip(pieces, outcome.results, strict=True):
+            if isinstance(result, PieceMade):
+                size = int(piece.result_bytes * _SIZE_MARGIN)
+                self.space.take(result.handle, size, spec.keep_s)
+            else:
+                self._log_piece(piece, result)
+            piece.result.set(result)
+
+    def _log_piece(self, piece: Piece, failed: PieceFailed) -> None:
+        self._parts.metrics.count(
+            "stage_piece_failures_total",
+            service=self.record.service,
+            reason=failed.reason,
+        )
+        _logger.info(
+            "piece failed",
+            extra={
+                "request_id": piece.order.request_id,
+                "stage": piece.order.stage,
+                "piece": piece.order.piece,
+                "endpoint": self.record.name,
+                "reason": failed.reason,
+                "sends": piece.sends,
+                "space_used": self.space.used(),
+            },
+        )
+
+    def _send_again(
+        self,
+        pieces: list[Piece],
+        outcome: NotSent | Lost | PieceFailed,
+        elapsed_s: float,
+    ) -> None:
+        """Queue the pieces of a failed call again where that is allowed."""
+        parts, record = self._parts, self.record
+        is_refused = isinstance(outcome, PieceFailed)
+        if not is_refused:
+            parts.pools.loads.fail(record.name, parts.pools.names(record.service))
+        kind = "refused" if is_refused else type(outcome).__name__
+        parts.metrics.count(
+            "stage_call_failures_total", service=record.service, kind=kind
+        )
+        _logger.info(
+            "stage call failed",
+            extra={
+                "service": record.service,
+                "endpoint": record.name,
+                "kind": kind,
+                "detail": outcome.reason if is_refused else outcome.detail,
+                "requests": sorted({piece.order.request_id for piece in pieces}),
+                "elapsed_ms": round(elapsed_s * 1000, 1),
+                "ejected": parts.pools.loads.is_ejected(record.name),
+            },
+        )
+        may_repeat = is_refused and parts.budget.take(record.service)
+        for piece in pieces:
+            if may_repeat and piece.sends < _MAX_SENDS and not piece.is_cancelled:
+                self._pieces[next(self._numbers)] = piece
+            else:
+                # Another endpoint may make it; whoever asked decides that.
+                piece.result.set(PieceFailed(REASON_LOST))
+        self._parts.clock.sleep(_REST_S)
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -2,92 +2,28 @@
 
 from __future__ import annotations
 
-import logging
-from collections import defaultdict
 from dataclasses import dataclass
 
 import gevent
 from gevent.event import AsyncResult
 from gevent.queue import Queue
 
-from sapphirehoist.clock import Clock
-from sapphirehoist.gateway.dialect import (
-    Call,
-    CallDialect,
-    PieceFailed,
-    PieceMade,
-    PieceOrder,
+from sapphirehoist.gateway.dialect import Call, PieceFailed, PieceMade, PieceOrder
+from sapphirehoist.gateway.dispatch import StageInputs
+from sapphirehoist.gateway.stage_pools import StagePools
+from sapphirehoist.gateway.stage_queue import (
+    REASON_LATE,
+    REASON_LOST,
+    REASON_ROOM,
+    Piece,
 )
-from sapphirehoist.gateway.stage_pool import Piece, StagePools
-from sapphirehoist.http1 import EndpointConnections, Reply
-from sapphirehoist.observability import Metrics
 from sapphirehoist.routes import Route
 
-# Results that are no longer needed are given up together, soon.
-_FREE_EVERY_S = 0.1
-_FREE_TIMEOUT_S = 1.0
-_HANDLES_PER_CALL = 200
 # An endpoint without room for results is asked again after a part of a call.
-_ROOM_PAUSE_S = 0.15
+_ROOM_PAUSE_S = 0.1
 _ROOM_TRIES = 12
-_REMAKES = 2
-
-_logger = logging.getLogger(__name__)
-
-
-class ResultReleaser:
-    """Gives up results at the endpoints that made them.
-
-    Parameters
-    ----------
-    connections : EndpointConnections
-        Connections to endpoints.
-    dialect : CallDialect
-        Encodes calls.
-    clock, metrics : Clock, Metrics
-        Pace, and the counter ``stage_results_released_total``.
-    """
-
-    __slots__ = ("_clock", "_connections", "_dialect", "_handles", "_metrics")
-
-    def __init__(
-        self,
-        connections: EndpointConnections,
-        dialect: CallDialect,
-        clock: Clock,
-        metrics: Metrics,
-    ) -> None:
-        self._connections = connections
-        self._dialect = dialect
-        self._clock = clock
-        self._metrics = metrics
-        self._handles: defaultdict[str, list[str]] = defaultdict(list)
-
-    def release(self, maker: str, handle: str) -> None:
-        """Give up a result soon."""
-        self._handles[maker].append(handle)
-
-    def run(self) -> None:
-        """Send what has gathered, until killed."""
-        while True:
-            self._clock.sleep(_FREE_EVERY_S)
-            for maker in list(self._handles):
-                handles = self._handles.pop(maker)
-                for first in range(0, len(handles), _HANDLES_PER_CALL):
-                    part = handles[first : first + _HANDLES_PER_CALL]
-                    gevent.spawn(self._send, maker, part)
-
-    def _send(self, maker: str, handles: list[str]) -> None:
-        """Ask once: results that are not given up lapse by themselves."""
-        self._metrics.count("stage_results_released_total", len(handles))
-        with gevent.Timeout(_FREE_TIMEOUT_S, False):
-            reply = self._connections.call(
-                maker, self._dialect.free_request(handles), lambda head: True
-            )
-            if not isinstance(reply, Reply):
-                return
-            reply.read_all()
-            reply.close()
+# Pieces that are made again for one request, whatever became of the first.
+_REMAKES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,18 +39,22 @@
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class _Ended:
-    """A piece's end, as the job receives it."""
+@dataclass(slots=True, eq=False)
+class _Open:
+    """A piece that has been asked for."""
 
     stage: int
     index: int
+    endpoint: str
     piece: Piece
 
 
-class StageJob:
+class StageJob(StageInputs):
     """The stages of one request.
 
+    A stage starts once nothing that takes longer is left before it, so that results do
+    not take up space earlier than needed; results go as soon as they are used.
+
     Parameters
     ----------
     call : Call
@@ -126,26 +66,25 @@
     priority : int
         Rank of the request.
     pools : StagePools
-        Where pieces are queued.
-    releaser : ResultReleaser
-        Takes results that are no longer needed.
+        Has pieces made.
     """
 
     __slots__ = (
         "_call",
         "_counts",
+        "_endpoints",
         "_handles",
+        "_heights",
         "_limit_at",
-        "_makers",
         "_open",
         "_pools",
         "_priority",
-        "_releaser",
         "_remakes",
         "_results",
         "_room_tries",
         "_route",
         "_target_at",
+        "is_released",
     )
 
     def __init__(
@@ -156,7 +95,6 @@
         target_at: float,
         priority: int,
         pools: StagePools,
-        releaser: ResultReleaser,
     ) -> None:
         self._call = call
         self._route = route
@@ -164,15 +102,16 @@
         self._target_at = target_at
         self._priority = priority
         self._pools = pools
-        self._releaser = releaser
         given = call.pieces
         self._counts = [
             given[i] if i < len(given) else 1 for i in range(len(route.stages))
         ]
+        self._heights = route.stage_heights()
         self._results: Queue = Queue()
-        self._open: list[Piece] = []
+        self._open: list[_Open] = []
         self._remakes = 0
         self._room_tries = 0
+        self.is_released = False
         self._reset()
 
     @property
@@ -180,101 +119,141 @@
         """Return the pieces of all stages."""
         return sum(self._counts)
 
+    @property
+    def handles(self) -> tuple[str, ...]:
+        """Return the handles of the last stages, by stage and piece."""
+        final = self._route.final_stages()
+        return tuple(h for stage in final for h in self._handles[stage] if h)
+
     def services(self) -> set[str]:
         """Return the services that make pieces for this request."""
         stages = zip(self._route.stages, self._counts, strict=True)
         return {stage.service for stage, pieces in stages if pieces}
 
-    def run(self) -> tuple[str, ...] | StagesFailed:
-        """Make all pieces; return the handles of the last stages."""
+    def run(self) -> StagesFailed | None:
+        """Make all pieces; return why that failed, or None."""
         self._reset()
-        self._start_ready()
-        while any(None in handles for handles in self._handles):
-            ended: _Ended = self._results.get()
-            if ended.piece not in self._open:
+        self.is_released = False
+        failed = self._start_ready()
+        while failed is None and not all(map(self._is_done, range(len(self._counts)))):
+            ended: _Open = self._results.get()
+            if ended not in self._open:
                 continue
-            self._open.remove(ended.piece)
+            self._open.remove(ended)
             result = ended.piece.result.get()
             if isinstance(result, PieceMade):
-                self._keep(ended, result)
-                continue
-            failed = self._mend(ended, result)
-            if failed is not None:
-                return failed
-        final = self._route.final_stages()
-        return tuple(h for stage in final for h in self._handles[stage] if h)
+                failed = self._keep(ended, result)
+            else:
+                failed = self._mend(ended, result)
+        return failed
 
     def release(self) -> None:
         """Give up every result and every piece that is still wanted."""
-        for piece in self._open:
-            piece.is_cancelled = True
-            piece.result.rawlink(self._release_late)
+        for waiting in self._open:
+            waiting.piece.is_cancelled = True
+            waiting.piece.result.rawlink(self._release_late(waiting.endpoint))
+        for endpoint in {waiting.endpoint for waiting in self._open}:
+            self._pools.cancel(endpoint, self._call.request_id)
         self._open = []
-        for stage, handles in enumerate(self._handles):
-            for index, handle in enumerate(handles):
-                if handle:
-                    self._releaser.release(self._makers[stage][index], handle)
+        for stage in range(len(self._counts)):
+            self._release_stage(stage)
         self._reset()
+        self.is_released = True
 
-    def _release_late(self, result: AsyncResult) -> None:
-        """Give up a result that arrives after its request has ended."""
-        made = result.value
-        if isinstance(made, PieceMade):
-            self._releaser.release(made.handle.rpartition("/")[0], made.handle)
+    def _release_late(self, endpoint: str):
+        def release(result: AsyncResult) -> None:
+            """Give up a result that arrives after its request has ended."""
+            if isinstance(result.value, PieceMade):
+                self._pools.release(endpoint, result.value.handle)
+
+        return release
+
+    def _release_stage(self, stage: int) -> None:
+        for index, handle in enumerate(self._handles[stage]):
+            if handle:
+                self._pools.release(self._endpoints[stage][index], handle)
 
     def _reset(self) -> None:
-        self._handles: list[list[str | None]] = [[None] * n for n in self._counts]
-        self._makers = [[""] * n for n in self._counts]
-
-    def _start_ready(self) -> None:
-        """Start the stages whose inputs stand and that have not been started."""
-        started = {piece.order.stage for piece in self._open}
-        for stage, spec in enumerate(self._route.stages):
-            is_done = None not in self._handles[stage]
-            is_ready = all(None not in self._handles[i] for i in spec.after)
-            if is_done or stage in started or not is_ready:
-                continue
-            for index in range(self._counts[stage]):
-                if self._handles[stage][index] is None:
-                    self._start(stage, index)
+        self._handles: list[list[str]] = [[""] * n for n in self._counts]
+        self._endpoints: list[list[str]] = [[""] * n for n in self._counts]
+
+    def _is_done(self, stage: int) -> bool:
+        return all(self._handles[stage])
+
+    def _start_ready(self) -> StagesFailed | None:
+        """Start the stages that nothing higher is left before."""
+        started = {waiting.stage for waiting in self._open}
+        pending = [s for s in range(len(self._counts)) if not self._is_done(s)]
+        highest = max((self._heights[s] for s in pending), default=0)
+        for stage in pending:
+            if self._heights[stage] == highest and stage not in started:
+                missing = [i for i, h in enumerate(self._handles[stage]) if not h]
+                failed = self._start(stage, missing)
+                if failed is not None:
+                    return failed
+        return None
 
-    def _start(self, stage: int, index: int) -> None:
+    def _start(
+        self, stage: int, indexes: list[int], avoid: str = ""
+    ) -> StagesFailed | None:
         spec = self._route.stages[stage]
-        inputs = tuple(h for i in spec.after for h in self._handles[i] if h)
-        order = PieceOrder(
-            self._call.request_id,
-            stage,
-            index,
-            0.0,
-            "" if spec.after else self._call.piece_key,
-            inputs,
-        )
-        piece = Piece(order, self._limit_at, self._target_at, self._priority)
-        self._open.append(piece)
-        ended = _Ended(stage, index, piece)
-        piece.result.rawlink(lambda result: self._results.put(ended))
-        self._pools.submit(spec.service, piece)
+        record = self._pools.choose(spec.service, avoid)
+        if record is None:
+            return StagesFailed(f"stage {stage}: no endpoint")
+        inputs = tuple(h for i in spec.after for h in self._handles[i])
+        key = "" if spec.after else self._call.piece_key
+        pieces = []
+        for index in indexes:
+            order = PieceOrder(self._call.request_id, stage, index, 0.0, key, inputs)
+            piece = Piece(
+                order,
+                self._limit_at,
+                self._target_at,
+                self._priority,
+                spec.result_bytes,
+            )
+            waiting = _Open(stage, index, record.name, piece)
+            self._open.append(waiting)
+            piece.result.rawlink(lambda _, w=waiting: self._results.put(w))
+            pieces.append(piece)
+        self._pools.make(record, pieces)
+        return None
 
-    def _keep(self, ended: _Ended, made: PieceMade) -> None:
+    def _keep(self, ended: _Open, made: PieceMade) -> StagesFailed | None:
         self._handles[ended.stage][ended.index] = made.handle
-        self._makers[ended.stage][ended.index] = ended.piece.maker
-        if None not in self._handles[ended.stage]:
-            self._start_ready()
-
-    def _mend(self, ended: _Ended, failed: PieceFailed) -> StagesFailed | None:
+        self._endpoints[ended.stage][ended.index] = ended.endpoint
+        if not self._is_done(ended.stage):
+            return None
+        self._release_used(ended.stage)
+        return self._start_ready()
+
+    def _release_used(self, done: int) -> None:
+        """Give up results whose every user is done."""
+        for stage in self._route.stages[done].after:
+            users = [
+                i for i, spec in enumerate(self._route.stages) if stage in spec.after
+            ]
+            if all(map(self._is_done, users)):
+                self._release_stage(stage)
+
+    def _mend(self, ended: _Open, failed: PieceFailed) -> StagesFailed | None:
         """Start what is missing again, or say why not."""
-        name = f"stage {ended.stage} piece {ended.index}: {failed.reason}"
-        if failed.reason == "room" and self._room_tries < _ROOM_TRIES:
+        detail = StagesFailed(
+            f"stage {ended.stage} piece {ended.index} at {ended.endpoint}: "
+            f"{failed.reason}"
+        )
+        if failed.reason == REASON_LATE:
+            return detail
+        if failed.reason == REASON_ROOM and self._room_tries < _ROOM_TRIES:
             self._room_tries += 1
             gevent.sleep(_ROOM_PAUSE_S)
-            self._start(ended.stage, ended.index)
-            return None
-        if self._remakes >= _REMAKES or failed.reason == "late":
-            return StagesFailed(name)
+            return self._start(ended.stage, [ended.index])
+        if self._remakes >= _REMAKES + self._counts[ended.stage]:
+            return detail
         self._remakes += 1
         if failed.reason == "gone":
             self.release()
-            self._start_ready()
-        else:
-            self._start(ended.stage, ended.index)
-        return None
+            self.is_released = False
+            return self._start_ready()
+        avoid = ended.endpoint if failed.reason == REASON_LOST else ""
+        return self._start(ended.stage, [ended.index], avoid)
--- a/libs/http1/sapphirehoist/http1/server.py
+++ b/libs/http1/sapphirehoist/http1/server.py
@@ -137,7 +137,15 @@
         Takes ``caller_*_total``.
     """
 
-    __slots__ = ("_clock", "_connections", "_metrics", "_server", "handler", "is_closing", "limits")
+    __slots__ = (
+        "_clock",
+        "_connections",
+        "_metrics",
+        "_server",
+        "handler",
+        "is_closing",
+        "limits",
+    )
 
     def __init__(
         self,
--- a/libs/node/sapphirehoist/node/parts.py
+++ b/libs/node/sapphirehoist/node/parts.py
@@ -10,6 +10,7 @@
 from sapphirehoist.clock import Clock, SystemClock
 from sapphirehoist.endpoints import EndpointClient, HttpEndpointClient
 from sapphirehoist.peers import CurveKeys, PeerTransport, ZmqTransport
+from sapphirehoist.settings import Settings
 from sapphirehoist.storage import (
     HttpObjectStore,
     HttpTableService,
@@ -18,7 +19,6 @@
     TableService,
     VmList,
 )
-from sapphirehoist.settings import Settings
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/observability/sapphirehoist/observability/bounded.py
+++ b/libs/observability/sapphirehoist/observability/bounded.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import os
 import sys
 from collections import deque
 
@@ -85,7 +84,7 @@
 
 def configure_bounded_logging(vm: str) -> BoundedLogHandler:
     """Send log lines as JSON to standard output, each naming the VM."""
-    handler = BoundedLogHandler(os.dup(sys.stdout.fileno()))
+    handler = BoundedLogHandler(sys.stdout.fileno())
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s", static_fields={"vm": vm}
--- a/libs/routes/sapphirehoist/routes/model.py
+++ b/libs/routes/sapphirehoist/routes/model.py
@@ -96,6 +96,23 @@
         followed = {i for stage in self.stages for i in stage.after}
         return tuple(i for i in range(len(self.stages)) if i not in followed)
 
+    def stage_heights(self) -> tuple[int, ...]:
+        """Return for each stage the number of stages on the longest way to the end.
+
+        Examples
+        --------
+        >>> stages = (StageSpec("a"), StageSpec("b"), StageSpec("c", after=(1,)))
+        >>> route = Route("r", "h", "/", CallKind.STREAMING, 1, 1, 0, (), stages=stages)
+        >>> route.stage_heights()
+        (0, 1, 0)
+        """
+        heights = [0] * len(self.stages)
+        for _ in self.stages:
+            for stage, spec in enumerate(self.stages):
+                for before in spec.after:
+                    heights[before] = max(heights[before], heights[stage] + 1)
+        return tuple(heights)
+
 
 @dataclass(frozen=True, slots=True)
 class StagePool:
--- a/libs/testing/sapphirehoist/standins/platform.py
+++ b/libs/testing/sapphirehoist/standins/platform.py
@@ -11,9 +11,9 @@
 from bottle import Bottle, HTTPResponse, request
 
 from sapphirehoist.messages import encode_json
+from sapphirehoist.standins.server import drop_connection
 from sapphirehoist.storage import Committed, Conflict, MemoryTableService
 from sapphirehoist.storage.http import ReadRequest, TransactRequest
-from sapphirehoist.standins.server import drop_connection
 
 _JSON = {"Content-Type": "application/json"}
 
--- a/libs/testing/sapphirehoist/testing/in_process.py
+++ b/libs/testing/sapphirehoist/testing/in_process.py
@@ -18,7 +18,6 @@
 )
 from sapphirehoist.node import Node, NodeParts
 from sapphirehoist.peers import MemoryNetwork, MemoryTransport
-from sapphirehoist.storage import MemoryObjectStore, MemoryTableService
 from sapphirehoist.settings import (
     Listen,
     OperatorKey,
@@ -26,6 +25,7 @@
     PlatformSettings,
     Settings,
 )
+from sapphirehoist.storage import MemoryObjectStore, MemoryTableService
 from sapphirehoist.testing.fakes import FakeEndpointClient, FakeVmList, FaultyTable
 
 _STEP_S = 0.05
--- a/libs/testing/sapphirehoist/testing/tests/test_standins.py
+++ b/libs/testing/sapphirehoist/testing/tests/test_standins.py
@@ -10,6 +10,9 @@
 import urllib3
 from bottle import Bottle
 
+from sapphirehoist.standins.engine import EngineStandIn
+from sapphirehoist.standins.platform import PlatformStandIn
+from sapphirehoist.standins.server import serve
 from sapphirehoist.storage import (
     Committed,
     Condition,
@@ -24,9 +27,6 @@
     VmStates,
     Write,
 )
-from sapphirehoist.standins.engine import EngineStandIn
-from sapphirehoist.standins.platform import PlatformStandIn
-from sapphirehoist.standins.server import serve
 from sapphirehoist.testing import post_control, wait_until
 
 
