--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -1,4 +1,4 @@
-"""Which pieces go into the next call to a stage's endpoint, and which endpoint is asked.
+"""Which pieces a stage's endpoint makes next, and which endpoint is asked.
 
 Load it answers: pools whose calls cost far more than the pieces in them, fed by
 several nodes at once, so that full calls are the pool's capacity; and results that take
@@ -15,6 +15,8 @@
 
 # Pieces of a less urgent route are ordered as if they had this much more time.
 _PRIORITY_STEP_S = 0.4
+# Groups that need less than this part of the free space pass those that wait for it.
+_SMALL_SHARE = 0.05
 # A round trip and what results cost on the way, in terms of waiting time.
 _FARTHER_S = {
     Distance.SAME_ZONE: 0.0,
@@ -31,28 +33,41 @@
     ----------
     number : int
         Identifies it to the caller of the policy.
+    group : int
+        Pieces of one request are begun together or not at all, since one alone takes
+        up space without being of use.
     target_at : float
         Monotonic time at which its request should begin to be answered.
     priority : int
         Rank of its route; 0 is the most urgent.
     result_bytes : int
         Space that its result takes up.
+    is_reserved : bool
+        Whether space is set aside for it.
     """
 
     number: int
+    group: int
     target_at: float
     priority: int = 0
     result_bytes: int = 0
+    is_reserved: bool = False
 
 
 class BatchPolicy(ABC):
     """Fills calls."""
 
+    @abstractmethod
+    def reserve(
+        self, pieces: Sequence[QueuedPiece], room_bytes: float, now: float
+    ) -> tuple[int, ...]:
+        """Return the numbers of the pieces that get space of `room_bytes`."""
+
     @abstractmethod
     def fill(
-        self, pieces: Sequence[QueuedPiece], batch: int, room_bytes: float, now: float
+        self, pieces: Sequence[QueuedPiece], batch: int, now: float
     ) -> tuple[int, ...]:
-        """Return the numbers of at most `batch` pieces that fit into `room_bytes`."""
+        """Return the numbers of at most `batch` pieces for the next call."""
 
 
 class OneByOne(BatchPolicy):
@@ -60,40 +75,62 @@
 
     __slots__ = ()
 
+    def reserve(
+        self, pieces: Sequence[QueuedPiece], room_bytes: float, now: float
+    ) -> tuple[int, ...]:
+        """Return all pieces."""
+        return tuple(piece.number for piece in pieces)
+
     def fill(
-        self, pieces: Sequence[QueuedPiece], batch: int, room_bytes: float, now: float
+        self, pieces: Sequence[QueuedPiece], batch: int, now: float
     ) -> tuple[int, ...]:
         """Return the first piece."""
         return tuple(piece.number for piece in pieces[:1])
 
 
 class UrgentFirst(BatchPolicy):
-    """The pieces with the least time left that fit.
+    """The pieces with the least time left, for whose whole group there is space.
 
-    Pieces whose request has missed its target come after all others.
+    Pieces whose request has missed its target come after all others. A group that
+    finds no space holds back later ones of its size, so that large requests get their
+    turn; groups that need next to nothing pass.
 
     Examples
     --------
-    >>> pieces = [QueuedPiece(1, 9.0), QueuedPiece(2, 5.0), QueuedPiece(3, 6.0, 0, 9)]
-    >>> UrgentFirst().fill(pieces, 2, 5.0, 0.0)
-    (2, 1)
+    >>> pieces = [QueuedPiece(1, 1, 9.0, 0, 4), QueuedPiece(2, 2, 5.0, 0, 4)]
+    >>> UrgentFirst().reserve(pieces, 5.0, 0.0)
+    (2,)
     """
 
     __slots__ = ()
 
-    def fill(
-        self, pieces: Sequence[QueuedPiece], batch: int, room_bytes: float, now: float
+    def reserve(
+        self, pieces: Sequence[QueuedPiece], room_bytes: float, now: float
     ) -> tuple[int, ...]:
-        """Return the numbers of the pieces of the next call."""
-        chosen: list[int] = []
+        """Return the pieces of the groups that fit, most urgent groups first."""
+        groups: dict[int, list[QueuedPiece]] = {}
         for piece in sorted(pieces, key=lambda piece: _rank(piece, now)):
-            if len(chosen) == batch:
-                break
-            if piece.result_bytes <= room_bytes:
-                chosen.append(piece.number)
-                room_bytes -= piece.result_bytes
+            groups.setdefault(piece.group, []).append(piece)
+        chosen: list[int] = []
+        is_blocked = False
+        for group in groups.values():
+            needed = sum(piece.result_bytes for piece in group)
+            is_small = needed <= _SMALL_SHARE * room_bytes
+            if needed > room_bytes or (is_blocked and not is_small):
+                is_blocked = True
+                continue
+            room_bytes -= needed
+            chosen.extend(piece.number for piece in group)
         return tuple(chosen)
 
+    def fill(
+        self, pieces: Sequence[QueuedPiece], batch: int, now: float
+    ) -> tuple[int, ...]:
+        """Return the reserved pieces that have the least time left."""
+        reserved = [piece for piece in pieces if piece.is_reserved]
+        reserved.sort(key=lambda piece: _rank(piece, now))
+        return tuple(piece.number for piece in reserved[:batch])
+
 
 @dataclass(frozen=True, slots=True)
 class StageEndpoint:
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -11,9 +11,11 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Sequence
+from itertools import count
 from typing import ClassVar
 
 import gevent
+from gevent.event import AsyncResult
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import (
@@ -41,9 +43,13 @@
 from sapphirehoist.peers import NoReply, PeerBus, PeerMessage
 from sapphirehoist.routes import RouteTable, StagePool
 
-# Beyond the backlog that an owner told, it has this long before it is given up.
-_OWNER_PATIENCE_CALLS = 5.0
-_OWNER_PATIENCE_S = 0.8
+# An owner accepts at once; a round trip between regions takes 40 ms.
+_ACCEPT_TIMEOUT_S = 0.4
+# How soon it is noticed that an owner is gone.
+_OWNER_LOOK_S = 0.25
+# Part of an endpoint's space that one request may take; the rest is made elsewhere.
+_GROUP_SHARE = 0.6
+_LARGEST_GROUP = 1_000
 # Results that are no longer needed are given up together, soon.
 _RELEASE_EVERY_S = 0.05
 _RELEASE_TIMEOUT_S = 1.0
@@ -57,6 +63,8 @@
 
     Attributes
     ----------
+    ticket : int
+        Number under which the results are sent back.
     endpoint : str
         Where they are to be made.
     orders : list of PieceOrder
@@ -69,6 +77,7 @@
 
     KIND: ClassVar[str] = "gateway.make"
 
+    ticket: int
     endpoint: str
     orders: list[PieceOrder]
     limit_s: float
@@ -77,11 +86,29 @@
     result_bytes: int
 
 
-class MakeReply(PeerMessage, frozen=True, array_like=True):
-    """One entry for each piece, in order.
+class MakeAccepted(PeerMessage, frozen=True, array_like=True):
+    """The pieces are queued.
 
     Attributes
     ----------
+    backlog_s : float
+        Time until the endpoint begins with them.
+    """
+
+    KIND: ClassVar[str] = "gateway.make_accepted"
+
+    backlog_s: float
+
+
+class MadeNews(PeerMessage, frozen=True, array_like=True):
+    """The results, one entry for each piece in order.
+
+    Attributes
+    ----------
+    ticket : int
+        `MakeRequest.ticket`.
+    endpoint : str
+        Where they are.
     handles : list of str
         Handle of each result; empty where there is none.
     reasons : list of str
@@ -92,6 +119,8 @@
 
     KIND: ClassVar[str] = "gateway.made"
 
+    ticket: int
+    endpoint: str
     handles: list[str]
     reasons: list[str]
     backlog_s: float
@@ -156,6 +185,8 @@
         "_queues",
         "_released",
         "_table",
+        "_tickets",
+        "_tickets_open",
     )
 
     def __init__(
@@ -180,7 +211,10 @@
         self._backlogs: dict[str, _Backlog] = {}
         self._outstanding: Counter[str] = Counter()
         self._released: dict[str, list[str]] = {}
+        self._tickets = count(1)
+        self._tickets_open: dict[int, AsyncResult] = {}
         bus.subscribe(MakeRequest, self._handle_make)
+        bus.subscribe(MadeNews, self._handle_made)
         bus.subscribe(ReleaseNews, self._handle_release)
         bus.subscribe(CancelNews, self._handle_cancel)
         directory.on_departure(self._on_departure)
@@ -217,6 +251,13 @@
         own_s = self._outstanding[record.name] / spec.batch * call_s
         return max(reported_s, own_s)
 
+    def group_size(self, service: str, result_bytes: int) -> int:
+        """Return how many pieces of one request one endpoint should make."""
+        spec = self._spec(service)
+        if spec is None or not spec.room_bytes or not result_bytes:
+            return _LARGEST_GROUP
+        return max(1, int(_GROUP_SHARE * spec.room_bytes / result_bytes))
+
     def make(self, record: EndpointRecord, pieces: Sequence[Piece]) -> None:
         """Have pieces of one request made at `record`; sets each one's result."""
         owner = self._owner(record)
@@ -278,10 +319,12 @@
     def _ask(
         self, owner: Member, record: EndpointRecord, pieces: Sequence[Piece]
     ) -> None:
-        """Have an owner make pieces; without an answer, make them here."""
+        """Have an owner make pieces; if it is gone, make them here."""
         now = self._clock.monotonic()
         first = pieces[0]
+        ticket = next(self._tickets)
         request = MakeRequest(
+            ticket,
             record.name,
             [piece.order for piece in pieces],
             first.limit_at - now,
@@ -289,36 +332,46 @@
             first.priority,
             first.result_bytes,
         )
-        patience_s = min(first.limit_at - now, self._patience_s(record))
+        made = self._tickets_open[ticket] = AsyncResult()
         self._outstanding[record.name] += len(pieces)
         try:
-            reply = self._bus.ask(
-                owner.peer_address, request, MakeReply, max(0.01, patience_s)
+            accepted = self._bus.ask(
+                owner.peer_address, request, MakeAccepted, _ACCEPT_TIMEOUT_S
             )
+            if isinstance(accepted, NoReply):
+                self._without_owner(owner, record, pieces, now)
+                return
+            self._take_backlog(record.name, accepted.backlog_s)
+            news = self._await(made, owner, first.limit_at)
         finally:
+            del self._tickets_open[ticket]
             self._outstanding[record.name] -= len(pieces)
-        if isinstance(reply, NoReply) or len(reply.handles) != len(pieces):
-            self._without_owner(owner, record, pieces, patience_s)
+        if news is None or len(news.handles) != len(pieces):
+            self._without_owner(owner, record, pieces, now)
             return
-        self._backlogs[record.name] = _Backlog(reply.backlog_s, self._clock.monotonic())
-        results = zip(pieces, reply.handles, reply.reasons, strict=True)
+        results = zip(pieces, news.handles, news.reasons, strict=True)
         for piece, handle, reason in results:
             piece.result.set(PieceMade(handle) if handle else PieceFailed(reason))
 
-    def _patience_s(self, record: EndpointRecord) -> float:
-        spec = self._spec(record.service)
-        if spec is None:
-            return _OWNER_PATIENCE_S
-        call_s = spec.call_s + spec.batch * spec.piece_s
-        backlog_s = self.backlog_s(record)
-        return backlog_s + _OWNER_PATIENCE_CALLS * call_s + _OWNER_PATIENCE_S
+    def _await(
+        self, made: AsyncResult, owner: Member, limit_at: float
+    ) -> MadeNews | None:
+        """Wait for the results as long as their owner serves."""
+        while not self._clock.wait(made, _OWNER_LOOK_S):
+            is_late = self._clock.monotonic() > limit_at
+            if is_late or not self._fleet.is_present(owner.vm):
+                return None
+        return made.get()
+
+    def _take_backlog(self, endpoint: str, backlog_s: float) -> None:
+        self._backlogs[endpoint] = _Backlog(backlog_s, self._clock.monotonic())
 
     def _without_owner(
         self,
         owner: Member,
         record: EndpointRecord,
         pieces: Sequence[Piece],
-        waited_s: float,
+        asked_at: float,
     ) -> None:
         _logger.info(
             "owner gave no answer",
@@ -326,7 +379,7 @@
                 "request_id": pieces[0].order.request_id,
                 "owner": owner.vm,
                 "endpoint": record.name,
-                "waited_ms": round(waited_s * 1000, 1),
+                "waited_ms": round((self._clock.monotonic() - asked_at) * 1000, 1),
             },
         )
         wanted = [piece for piece in pieces if not piece.is_cancelled]
@@ -336,11 +389,10 @@
         for piece in wanted:
             piece.result.set(PieceFailed(REASON_LOST))
 
-    def _handle_make(self, sender: str, request: MakeRequest) -> MakeReply:
+    def _handle_make(self, sender: str, request: MakeRequest) -> MakeAccepted | None:
         record = self._directory.get(request.endpoint)
-        count = len(request.orders)
         if record is None:
-            return MakeReply([""] * count, [REASON_LOST] * count, 0.0)
+            return None
         now = self._clock.monotonic()
         pieces = [
             Piece(
@@ -353,11 +405,39 @@
             for order in request.orders
         ]
         queue = self._queue(record)
+        accepted = MakeAccepted(queue.backlog_s())
         queue.submit(pieces)
+        gevent.spawn(self._send_results, sender, request, pieces, queue)
+        return accepted
+
+    def _send_results(
+        self,
+        sender: str,
+        request: MakeRequest,
+        pieces: list[Piece],
+        queue: EndpointQueue,
+    ) -> None:
         results = [piece.result.get() for piece in pieces]
         handles = [r.handle if isinstance(r, PieceMade) else "" for r in results]
         reasons = [r.reason if isinstance(r, PieceFailed) else "" for r in results]
-        return MakeReply(handles, reasons, queue.backlog_s())
+        news = MadeNews(
+            request.ticket, request.endpoint, handles, reasons, queue.backlog_s()
+        )
+        known = self._fleet.view.get(sender)
+        if known is None or known.member is None:
+            self._release_here(request.endpoint, [h for h in handles if h])
+            return
+        self._bus.tell(known.member.peer_address, news)
+
+    def _handle_made(self, sender: str, news: MadeNews) -> None:
+        self._take_backlog(news.endpoint, news.backlog_s)
+        made = self._tickets_open.get(news.ticket)
+        if made is not None:
+            made.set(news)
+            return
+        # Whoever asked has given up; nobody will use the results.
+        for handle in filter(None, news.handles):
+            self.release(news.endpoint, handle)
 
     def _handle_release(self, sender: str, news: ReleaseNews) -> None:
         self._release_here(news.endpoint, news.handles)
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -59,6 +59,10 @@
         Rank of its request.
     result_bytes : int
         Approximate size of its result.
+    group : int
+        Pieces of one request at one endpoint.
+    is_reserved : bool
+        Whether space is set aside for its result.
     result : AsyncResult
         Gets `PieceMade` or `PieceFailed`.
     """
@@ -68,6 +72,8 @@
     target_at: float
     priority: int
     result_bytes: int
+    group: int = 0
+    is_reserved: bool = False
     result: AsyncResult = field(default_factory=AsyncResult)
     sends: int = 0
     is_cancelled: bool = False
@@ -145,6 +151,7 @@
     __slots__ = (
         "_call_ends_at",
         "_has_pieces",
+        "_no_room_until",
         "_numbers",
         "_parts",
         "_pieces",
@@ -168,11 +175,15 @@
         self._pieces: dict[int, Piece] = {}
         self._has_pieces = Event()
         self._call_ends_at = 0.0
+        self._no_room_until = 0.0
         self._task = gevent.spawn(self._run)
 
     def submit(self, pieces: Sequence[Piece]) -> None:
         """Queue pieces; their results are set when a call brought them."""
+        group = next(self._numbers)
         for piece in pieces:
+            piece.group = group
+            piece.is_reserved = False
             self._pieces[next(self._numbers)] = piece
         self._has_pieces.set()
 
@@ -226,20 +237,28 @@
             if piece.limit_at <= now:
                 del self._pieces[number]
                 piece.result.set(PieceFailed(REASON_LATE))
-        room = spec.room_bytes - self.space.used() if spec.room_bytes else float("inf")
-        numbers = self._parts.policy.fill(
-            [
-                QueuedPiece(
-                    n, p.target_at, p.priority, int(p.result_bytes * _SIZE_MARGIN)
-                )
-                for n, p in self._pieces.items()
-            ],
-            spec.batch,
-            room,
-            now,
-        )
+        self._reserve(spec, now)
+        numbers = self._parts.policy.fill(self._queued(), spec.batch, now)
         return [self._pieces.pop(number) for number in numbers]
 
+    def _reserve(self, spec: StagePool, now: float) -> None:
+        """Set space aside for the groups that the policy begins."""
+        room = float("inf")
+        if spec.room_bytes:
+            reserved = sum(_size(p) for p in self._pieces.values() if p.is_reserved)
+            room = spec.room_bytes - self.space.used() - reserved
+        if now < self._no_room_until:
+            return
+        waiting = [piece for piece in self._queued() if not piece.is_reserved]
+        for number in self._parts.policy.reserve(waiting, room, now):
+            self._pieces[number].is_reserved = True
+
+    def _queued(self) -> list[QueuedPiece]:
+        return [
+            QueuedPiece(n, p.group, p.target_at, p.priority, _size(p), p.is_reserved)
+            for n, p in self._pieces.items()
+        ]
+
     def _make(self, spec: StagePool, pieces: list[Piece]) -> None:
         parts, name = self._parts, self.record.name
         started = parts.clock.monotonic()
@@ -318,10 +337,12 @@
     ) -> None:
         for piece, result in zip(pieces, outcome.results, strict=True):
             if isinstance(result, PieceMade):
-                size = int(piece.result_bytes * _SIZE_MARGIN)
-                self.space.take(result.handle, size, spec.keep_s)
+                self.space.take(result.handle, _size(piece), spec.keep_s)
             else:
                 self._log_piece(piece, result)
+                if result.reason == REASON_ROOM:
+                    # Results that other nodes had made there, or larger ones, fill it.
+                    self._no_room_until = self._parts.clock.monotonic() + _REST_S
             piece.result.set(result)
 
     def _log_piece(self, piece: Piece, failed: PieceFailed) -> None:
@@ -378,3 +399,7 @@
                 # Another endpoint may make it; whoever asked decides that.
                 piece.result.set(PieceFailed(REASON_LOST))
         self._parts.clock.sleep(_REST_S)
+
+
+def _size(piece: Piece) -> int:
+    return int(piece.result_bytes * _SIZE_MARGIN)
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
@@ -160,7 +161,7 @@
         self._reset()
         self.is_released = True
 
-    def _release_late(self, endpoint: str):
+    def _release_late(self, endpoint: str) -> Callable[[AsyncResult], None]:
         def release(result: AsyncResult) -> None:
             """Give up a result that arrives after its request has ended."""
             if isinstance(result.value, PieceMade):
@@ -197,27 +198,30 @@
         self, stage: int, indexes: list[int], avoid: str = ""
     ) -> StagesFailed | None:
         spec = self._route.stages[stage]
-        record = self._pools.choose(spec.service, avoid)
-        if record is None:
-            return StagesFailed(f"stage {stage}: no endpoint")
+        size = self._pools.group_size(spec.service, spec.result_bytes)
+        for first in range(0, len(indexes), size):
+            record = self._pools.choose(spec.service, avoid)
+            if record is None:
+                return StagesFailed(f"stage {stage}: no endpoint")
+            pieces = [
+                self._open_piece(stage, index, record.name)
+                for index in indexes[first : first + size]
+            ]
+            self._pools.make(record, pieces)
+        return None
+
+    def _open_piece(self, stage: int, index: int, endpoint: str) -> Piece:
+        spec = self._route.stages[stage]
         inputs = tuple(h for i in spec.after for h in self._handles[i])
         key = "" if spec.after else self._call.piece_key
-        pieces = []
-        for index in indexes:
-            order = PieceOrder(self._call.request_id, stage, index, 0.0, key, inputs)
-            piece = Piece(
-                order,
-                self._limit_at,
-                self._target_at,
-                self._priority,
-                spec.result_bytes,
-            )
-            waiting = _Open(stage, index, record.name, piece)
-            self._open.append(waiting)
-            piece.result.rawlink(lambda _, w=waiting: self._results.put(w))
-            pieces.append(piece)
-        self._pools.make(record, pieces)
-        return None
+        order = PieceOrder(self._call.request_id, stage, index, 0.0, key, inputs)
+        piece = Piece(
+            order, self._limit_at, self._target_at, self._priority, spec.result_bytes
+        )
+        waiting = _Open(stage, index, endpoint, piece)
+        self._open.append(waiting)
+        piece.result.rawlink(lambda _: self._results.put(waiting))
+        return piece
 
     def _keep(self, ended: _Open, made: PieceMade) -> StagesFailed | None:
         self._handles[ended.stage][ended.index] = made.handle
--- a/libs/membership/sapphirehoist/membership/fleet.py
+++ b/libs/membership/sapphirehoist/membership/fleet.py
@@ -130,6 +130,11 @@
         """Return the members that are believed dead but not known to be gone."""
         return self.view.members(Status.DEAD)
 
+    def is_present(self, vm: str) -> bool:
+        """Return whether `vm` is alive or only suspected, leaving or not."""
+        news = self.view.get(vm)
+        return news is not None and news.status in _PRESENT
+
     def is_serving(self, vm: str) -> bool:
         """Return whether new callers may be sent to `vm`."""
         news = self.view.get(vm)
