--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := $(wildcard libs/*)
+LIBS := $(wildcard libs/*) platform
 CASE ?= all
 
 .PHONY: setup demo test lint format bench slopes
 
 setup: $(VENV)/.done
 
-$(VENV)/.done: requirements.txt $(wildcard libs/*/pyproject.toml)
+$(VENV)/.done: requirements.txt $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(addprefix -e ./,$(LIBS))
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -55,6 +55,8 @@
 # Time to write the last answers and to leave the fleet.
 _LEAVE_MARGIN_S = 0.6
 _IDLE_POLL_S = 0.05
+# A task that fails at once again must not keep the processor busy.
+_RESTART_PAUSE_S = 0.3
 
 _logger = logging.getLogger(__name__)
 
@@ -143,7 +145,7 @@
             self._stages.run,
             self._keep_house,
         ):
-            self._tasks.append(gevent.spawn(run))
+            self._tasks.append(gevent.spawn(self._supervise, run))
         self._server.start()
 
     def is_ready(self) -> bool:
@@ -180,6 +182,16 @@
         self._server.stop()
         self._bus.close()
 
+    def _supervise(self, run: Callable[[], None]) -> None:
+        """Run a task again if a fault ends it; a node without it is of no use."""
+        while True:
+            try:
+                run()
+            except Exception:
+                self.metrics.count("task_failures_total")
+                _logger.exception("task failed")
+            self._parts.clock.sleep(_RESTART_PAUSE_S)
+
     def _build_fleet(self) -> None:
         settings, parts = self.settings, self._parts
         hybrid = HybridClock(parts.clock)
--- a/libs/http1/sapphirehoist/http1/server.py
+++ b/libs/http1/sapphirehoist/http1/server.py
@@ -303,7 +303,7 @@
         self._is_ended = True
         self._has_data.set()
         if self._main is not None:
-            gevent.kill(self._main, CallerLeft, block=False)
+            gevent.kill(self._main, CallerLeft)
 
     def _serve_one(self) -> bool:
         limits = self._server.limits()
--- /dev/null
+++ b/libs/http1/sapphirehoist/http1/tests/test_server.py
@@ -0,0 +1,186 @@
+"""Callers' connections: leaving, framing, limits, answers that break off."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.event import Event
+
+from sapphirehoist.clock import SystemClock
+from sapphirehoist.http1 import (
+    CallerLeft,
+    CallerRequest,
+    CallerServer,
+    Exchange,
+    Headers,
+    ResponseHead,
+)
+from sapphirehoist.observability import Metrics
+
+WAIT_S = 5.0
+
+
+@dataclass(slots=True)
+class Limits:
+    header_bytes: int = 2_000
+    body_bytes: int = 1_000
+    header_s: float = 0.3
+    idle_s: float = 5.0
+
+
+@dataclass(slots=True)
+class Backend:
+    """Answers requests as a test tells it."""
+
+    answer: Callable[[Exchange], None] = lambda exchange: exchange.respond(
+        ResponseHead(200, Headers()), b"ok"
+    )
+    requests: list[CallerRequest] = field(default_factory=list)
+    started: Event = field(default_factory=Event)
+    left: Event = field(default_factory=Event)
+
+    def __call__(self, request: CallerRequest, exchange: Exchange) -> None:
+        self.requests.append(request)
+        self.started.set()
+        try:
+            self.answer(exchange)
+        except CallerLeft:
+            self.left.set()
+            raise
+
+
+@dataclass(slots=True)
+class Serving:
+    backend: Backend
+    server: CallerServer
+
+    def connect(self) -> socket.socket:
+        sock = socket.create_connection(("127.0.0.1", self.server.port))
+        sock.settimeout(WAIT_S)
+        return sock
+
+    def exchange(self, data: bytes) -> bytes:
+        """Send `data` and return everything until the server closes."""
+        with self.connect() as sock:
+            sock.sendall(data)
+            return read_all(sock)
+
+
+def read_all(sock: socket.socket) -> bytes:
+    received = b""
+    while block := sock.recv(65_536):
+        received += block
+    return received
+
+
+@pytest.fixture
+def serving() -> Iterator[Serving]:
+    backend = Backend()
+    server = CallerServer("127.0.0.1:0", backend, Limits, SystemClock(), Metrics())
+    server.start()
+    yield Serving(backend, server)
+    server.stop()
+
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+CLOSE = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+class TestCallerLeaves:
+    def test_while_the_answer_is_awaited(self, serving: Serving) -> None:
+        serving.backend.answer = lambda exchange: gevent.sleep(WAIT_S)
+        sock = serving.connect()
+        sock.sendall(GET)
+        assert serving.backend.started.wait(WAIT_S)
+        sock.close()
+        assert serving.backend.left.wait(WAIT_S)
+
+    def test_on_a_kept_connection(self, serving: Serving) -> None:
+        sock = serving.connect()
+        sock.sendall(GET)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200")
+        serving.backend.answer = lambda exchange: gevent.sleep(WAIT_S)
+        serving.backend.started.clear()
+        sock.sendall(GET)
+        assert serving.backend.started.wait(WAIT_S)
+        sock.close()
+        assert serving.backend.left.wait(WAIT_S)
+
+
+class TestFraming:
+    def test_chunked_body(self, serving: Serving) -> None:
+        head = CLOSE.replace(b"GET", b"POST")[:-2]
+        chunks = b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        serving.exchange(head + chunks)
+        assert serving.backend.requests[0].body == b"abc"
+
+    @pytest.mark.parametrize(
+        "lines",
+        [
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            b"Content-Length: 3\r\nContent-Length: 4\r\n",
+            b"Host: other\r\n",
+            b"Transfer-Encoding: gzip, chunked\r\n",
+            b"Content-Length: +3\r\n",
+            b"X-A : b\r\n",
+        ],
+    )
+    def test_ambiguous_requests_are_refused(
+        self, serving: Serving, lines: bytes
+    ) -> None:
+        data = b"POST /a HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n0\r\n\r\n"
+        answer = serving.exchange(data)
+        assert answer.split(b" ")[1] in (b"400", b"501")
+        assert not serving.backend.requests
+
+    def test_a_request_hidden_in_a_body_is_not_run(self, serving: Serving) -> None:
+        hidden = b"GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+        head = b"POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        length = f"Content-Length: {len(hidden)}\r\n\r\n".encode()
+        serving.exchange(head + length + hidden)
+        assert [r.head.target for r in serving.backend.requests] == ["/a"]
+
+    def test_pipelined_requests_are_answered_in_order(self, serving: Serving) -> None:
+        serving.exchange(GET.replace(b"/a", b"/1") + CLOSE.replace(b"/a", b"/2"))
+        assert [r.head.target for r in serving.backend.requests] == ["/1", "/2"]
+
+
+class TestLimits:
+    def test_large_head(self, serving: Serving) -> None:
+        data = b"GET /a HTTP/1.1\r\nHost: h\r\nX-A: " + b"a" * 3_000
+        assert b" 431 " in serving.exchange(data)
+
+    def test_large_body(self, serving: Serving) -> None:
+        data = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n"
+        assert b" 413 " in serving.exchange(data + b"a" * 2_000)
+
+    def test_slow_head(self, serving: Serving) -> None:
+        assert b" 408 " in serving.exchange(b"GET /a HTTP/1.1\r\nHos")
+
+
+class TestAnswers:
+    def test_an_aborted_answer_does_not_look_complete(self, serving: Serving) -> None:
+        def answer(exchange: Exchange) -> None:
+            exchange.begin(ResponseHead(200, Headers()), None, b"part")
+            exchange.abort()
+
+        serving.backend.answer = answer
+        with serving.connect() as sock:
+            sock.sendall(b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+            with pytest.raises(ConnectionResetError):
+                read_all(sock)
+
+    def test_closing_server_says_so(self, serving: Serving) -> None:
+        serving.server.is_closing = True
+        assert b"connection: close" in serving.exchange(GET).lower()
+
+    def test_closing_server_ends_idle_connections(self, serving: Serving) -> None:
+        sock = serving.connect()
+        sock.sendall(GET)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200")
+        serving.server.begin_closing()
+        assert sock.recv(1) == b""
--- a/libs/observability/sapphirehoist/observability/bounded.py
+++ b/libs/observability/sapphirehoist/observability/bounded.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 from collections import deque
+from types import TracebackType
 
 import gevent
 from gevent import os as gevent_os
@@ -14,6 +15,9 @@
 # About a second of lines at ten times the rate of a busy day.
 _QUEUED_LINES = 4_096
 _BLOCK_BYTES = 32_768
+_TASK_CHARACTERS = 200
+
+_logger = logging.getLogger(__name__)
 
 
 class BoundedLogHandler(logging.Handler):
@@ -93,4 +97,20 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
+    # Lines name the VM already; looking up threads and processes costs more than them.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    gevent.get_hub().print_exception = _log_task_failure
     return handler
+
+
+def _log_task_failure(
+    context: object, kind: type, value: BaseException, trace: TracebackType | None
+) -> None:
+    """Log what ended a task, in place of printing it."""
+    _logger.error(
+        "task failed",
+        exc_info=(kind, value, trace),
+        extra={"task": str(context)[:_TASK_CHARACTERS]},
+    )
