Order pieces by the time they have to be begun, refuse at once what stages cannot make

Cause: under bursts pieces waited for their turn until the request's limit, so that worth was held to the end and earlier results lapsed. Change: pieces of requests that can still meet their target go first, by the latest time to begin; the backlog is told for both; a forecast over the stages refuses a request at its arrival; pieces are dropped once the rest cannot be made in time.

--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -14,7 +14,7 @@
 from sapphirehoist.decisions.placement import Distance
 
 # Pieces of a less urgent route are ordered as if they had this much more time.
-_PRIORITY_STEP_S = 0.4
+_PRIORITY_STEP_S = 0.8
 # Groups that need less than this part of the free space pass those that wait for it.
 _SMALL_SHARE = 0.05
 # A round trip and what results cost on the way, in terms of waiting time.
@@ -36,8 +36,8 @@
     group : int
         Pieces of one request are begun together or not at all, since one alone takes
         up space without being of use.
-    target_at : float
-        Monotonic time at which its request should begin to be answered.
+    due_at : float
+        Monotonic time at which it has to be begun for its request to meet its target.
     priority : int
         Rank of its route; 0 is the most urgent.
     result_bytes : int
@@ -48,7 +48,7 @@
 
     number: int
     group: int
-    target_at: float
+    due_at: float
     priority: int = 0
     result_bytes: int = 0
     is_reserved: bool = False
@@ -91,7 +91,7 @@
 class UrgentFirst(BatchPolicy):
     """The pieces with the least time left, for whose whole group there is space.
 
-    Pieces whose request has missed its target come after all others. A group that
+    Pieces whose request will miss its target come after all others. A group that
     finds no space holds back later ones of its size, so that large requests get their
     turn; groups that need next to nothing pass.
 
@@ -192,5 +192,5 @@
 
 
 def _rank(piece: QueuedPiece, now: float) -> tuple[bool, float]:
-    due = piece.target_at + piece.priority * _PRIORITY_STEP_S
-    return piece.target_at < now, due
+    due = piece.due_at + piece.priority * _PRIORITY_STEP_S
+    return piece.due_at < now, due
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -39,6 +39,8 @@
 _RETRY_STOPPING_S = 0.02
 # Stage pools that could not serve have worked off a few calls by then.
 _RETRY_STAGES_S = 0.5
+# Part of the time left that a forecast may fill.
+_FORECAST_MARGIN = 0.7
 # Returns are spread over this part of the time to come back.
 _RETRY_SPREAD = 0.5
 # Stages are made anew this often for one request.
@@ -219,14 +221,33 @@
             job.priority,
             self._stages,
         )
+        trace.pieces = stages.piece_count
+        refusal = self._admit(stages, job, trace)
+        if refusal is not None:
+            return refusal
         for service in stages.services():
             self._budget.count_request(service)
-        trace.pieces = stages.piece_count
         try:
             return self._run_stages(stages, job, progress, exchange, trace)
         finally:
             stages.release()
 
+    def _admit(self, stages: StageJob, job: Job, trace: RequestTrace) -> Refusal | None:
+        """Refuse at once what the stage pools cannot make in time."""
+        forecast = stages.forecast()
+        trace.forecast_s = forecast.on_time_s
+        left_s = job.limit_at - self._clock.monotonic()
+        if forecast.on_time_s <= job.target_at - self._clock.monotonic():
+            return None
+        if forecast.total_s <= left_s * _FORECAST_MARGIN:
+            return None
+        wait_s = forecast.total_s - left_s * _FORECAST_MARGIN
+        return Refusal(
+            Reason.OVERLOADED,
+            f"stages would take {forecast.total_s:.2f} s of {left_s:.2f} s",
+            min(max(wait_s, _RETRY_STAGES_S), left_s / 3),
+        )
+
     def _run_stages(
         self,
         stages: StageJob,
--- a/libs/gateway/sapphirehoist/gateway/pools.py
+++ b/libs/gateway/sapphirehoist/gateway/pools.py
@@ -62,7 +62,7 @@
         return self._directory.get(name)
 
     def places(self, service: Service, tried: Collection[str]) -> list[Place]:
-        """Return the places that may be tried; ejected ones only if no other is left."""
+        """Return the places to try; ejected ones only if no other is left."""
         records = [
             r for r in self._directory.in_service(service.name) if r.name not in tried
         ]
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -11,6 +11,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from itertools import count
 from typing import ClassVar
 
@@ -33,7 +34,9 @@
 from sapphirehoist.gateway.dialect import PieceFailed, PieceMade, PieceOrder
 from sapphirehoist.gateway.pools import EndpointPools
 from sapphirehoist.gateway.stage_queue import (
+    REASON_LATE,
     REASON_LOST,
+    Backlog,
     EndpointQueue,
     Piece,
     QueueParts,
@@ -69,8 +72,9 @@
         Where they are to be made.
     orders : list of PieceOrder
         The pieces.
-    limit_s, target_s : float
-        Time until they are of no use, and until their request should be answered.
+    limit_s, due_s : float
+        Time until they are of no use, and until they have to be begun for their
+        request to meet its target.
     priority, result_bytes : int
         Rank of the request; size of each result.
     """
@@ -81,7 +85,7 @@
     endpoint: str
     orders: list[PieceOrder]
     limit_s: float
-    target_s: float
+    due_s: float
     priority: int
     result_bytes: int
 
@@ -91,13 +95,14 @@
 
     Attributes
     ----------
-    backlog_s : float
-        Time until the endpoint begins with them.
+    on_time_s, total_s : float
+        `Backlog` of the endpoint, without them.
     """
 
     KIND: ClassVar[str] = "gateway.make_accepted"
 
-    backlog_s: float
+    on_time_s: float
+    total_s: float
 
 
 class MadeNews(PeerMessage, frozen=True, array_like=True):
@@ -113,8 +118,8 @@
         Handle of each result; empty where there is none.
     reasons : list of str
         Why there is none.
-    backlog_s : float
-        Time until the endpoint would begin with a new piece.
+    on_time_s, total_s : float
+        `Backlog` of the endpoint.
     """
 
     KIND: ClassVar[str] = "gateway.made"
@@ -123,7 +128,8 @@
     endpoint: str
     handles: list[str]
     reasons: list[str]
-    backlog_s: float
+    on_time_s: float
+    total_s: float
 
 
 class ReleaseNews(PeerMessage, frozen=True, array_like=True):
@@ -144,14 +150,12 @@
     request_id: str
 
 
-class _Backlog:
-    """What is known of the wait at an endpoint that another node owns."""
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """What an owner told of its endpoint's backlog, and when."""
 
-    __slots__ = ("at", "reported_s")
-
-    def __init__(self, reported_s: float, at: float) -> None:
-        self.reported_s = reported_s
-        self.at = at
+    backlog: Backlog
+    at: float
 
 
 class StagePools:
@@ -172,7 +176,6 @@
     """
 
     __slots__ = (
-        "_backlogs",
         "_bus",
         "_choice",
         "_clock",
@@ -187,6 +190,7 @@
         "_table",
         "_tickets",
         "_tickets_open",
+        "_told",
     )
 
     def __init__(
@@ -208,7 +212,7 @@
         self._pools: EndpointPools = parts.pools
         self._connections: EndpointConnections = parts.connections
         self._queues: dict[str, EndpointQueue] = {}
-        self._backlogs: dict[str, _Backlog] = {}
+        self._told: dict[str, _Told] = {}
         self._outstanding: Counter[str] = Counter()
         self._released: dict[str, list[str]] = {}
         self._tickets = count(1)
@@ -229,31 +233,35 @@
             return None
         chosen = self._choice.choose(
             [
-                StageEndpoint(r.name, self._pools.distance(r), self.backlog_s(r))
+                StageEndpoint(
+                    r.name, self._pools.distance(r), self.backlog(r).on_time_s
+                )
                 for r in candidates
             ]
         )
         return self._directory.get(chosen.name)
 
-    def backlog_s(self, record: EndpointRecord) -> float:
-        """Return the estimated time until `record` would begin with a new piece."""
+    def backlog(self, record: EndpointRecord) -> Backlog:
+        """Return the estimated times until `record` would begin with a new piece."""
         queue = self._queues.get(record.name)
         if queue is not None and self._owner(record) is None:
-            return queue.backlog_s()
-        known = self._backlogs.get(record.name)
-        reported_s = 0.0
-        if known is not None:
-            reported_s = max(0.0, known.reported_s - self._clock.monotonic() + known.at)
-        spec = self._spec(record.service)
-        if spec is None:
-            return reported_s
-        call_s = spec.call_s + spec.batch * spec.piece_s
-        own_s = self._outstanding[record.name] / spec.batch * call_s
-        return max(reported_s, own_s)
+            return queue.backlog()
+        on_time_s = total_s = 0.0
+        told = self._told.get(record.name)
+        if told is not None:
+            age_s = self._clock.monotonic() - told.at
+            on_time_s = max(0.0, told.backlog.on_time_s - age_s)
+            total_s = max(0.0, told.backlog.total_s - age_s)
+        spec = self.spec(record.service)
+        if spec is not None:
+            call_s = spec.call_s + spec.batch * spec.piece_s
+            own_s = self._outstanding[record.name] / spec.batch * call_s
+            on_time_s, total_s = max(on_time_s, own_s), max(total_s, own_s)
+        return Backlog(on_time_s, total_s)
 
     def group_size(self, service: str, result_bytes: int) -> int:
         """Return how many pieces of one request one endpoint should make."""
-        spec = self._spec(service)
+        spec = self.spec(service)
         if spec is None or not spec.room_bytes or not result_bytes:
             return _LARGEST_GROUP
         return max(1, int(_GROUP_SHARE * spec.room_bytes / result_bytes))
@@ -287,7 +295,8 @@
             for endpoint, handles in released.items():
                 self._pass_release(endpoint, handles)
 
-    def _spec(self, service: str) -> StagePool | None:
+    def spec(self, service: str) -> StagePool | None:
+        """Return how the pool `service` works."""
         table = self._table()
         found = table.service(service) if table is not None else None
         return found.stage_pool if found is not None else None
@@ -312,7 +321,7 @@
         queue = self._queues.get(record.name)
         if queue is None or queue.record.born_ms != record.born_ms:
             service = record.service
-            queue = EndpointQueue(record, lambda: self._spec(service), self._parts)
+            queue = EndpointQueue(record, lambda: self.spec(service), self._parts)
             self._queues[record.name] = queue
         return queue
 
@@ -328,7 +337,7 @@
             record.name,
             [piece.order for piece in pieces],
             first.limit_at - now,
-            first.target_at - now,
+            first.due_at - now,
             first.priority,
             first.result_bytes,
         )
@@ -341,7 +350,9 @@
             if isinstance(accepted, NoReply):
                 self._without_owner(owner, record, pieces, now)
                 return
-            self._take_backlog(record.name, accepted.backlog_s)
+            self._take_backlog(
+                record.name, Backlog(accepted.on_time_s, accepted.total_s)
+            )
             news = self._await(made, owner, first.limit_at)
         finally:
             del self._tickets_open[ticket]
@@ -363,8 +374,8 @@
                 return None
         return made.get()
 
-    def _take_backlog(self, endpoint: str, backlog_s: float) -> None:
-        self._backlogs[endpoint] = _Backlog(backlog_s, self._clock.monotonic())
+    def _take_backlog(self, endpoint: str, backlog: Backlog) -> None:
+        self._told[endpoint] = _Told(backlog, self._clock.monotonic())
 
     def _without_owner(
         self,
@@ -383,6 +394,10 @@
             },
         )
         wanted = [piece for piece in pieces if not piece.is_cancelled]
+        if self._clock.monotonic() >= pieces[0].limit_at:
+            for piece in wanted:
+                piece.result.set(PieceFailed(REASON_LATE))
+            return
         if self._directory.get(record.name) is record:
             self._queue(record).submit(wanted)
             return
@@ -398,14 +413,15 @@
             Piece(
                 order,
                 now + request.limit_s,
-                now + request.target_s,
+                now + request.due_s,
                 request.priority,
                 request.result_bytes,
             )
             for order in request.orders
         ]
         queue = self._queue(record)
-        accepted = MakeAccepted(queue.backlog_s())
+        backlog = queue.backlog()
+        accepted = MakeAccepted(backlog.on_time_s, backlog.total_s)
         queue.submit(pieces)
         gevent.spawn(self._send_results, sender, request, pieces, queue)
         return accepted
@@ -420,8 +436,14 @@
         results = [piece.result.get() for piece in pieces]
         handles = [r.handle if isinstance(r, PieceMade) else "" for r in results]
         reasons = [r.reason if isinstance(r, PieceFailed) else "" for r in results]
+        backlog = queue.backlog()
         news = MadeNews(
-            request.ticket, request.endpoint, handles, reasons, queue.backlog_s()
+            request.ticket,
+            request.endpoint,
+            handles,
+            reasons,
+            backlog.on_time_s,
+            backlog.total_s,
         )
         known = self._fleet.view.get(sender)
         if known is None or known.member is None:
@@ -430,7 +452,7 @@
         self._bus.tell(known.member.peer_address, news)
 
     def _handle_made(self, sender: str, news: MadeNews) -> None:
-        self._take_backlog(news.endpoint, news.backlog_s)
+        self._take_backlog(news.endpoint, Backlog(news.on_time_s, news.total_s))
         made = self._tickets_open.get(news.ticket)
         if made is not None:
             made.set(news)
@@ -461,10 +483,6 @@
         record = self._directory.get(endpoint)
         if record is None:
             return
-        queue = self._queues.get(endpoint)
-        if queue is not None:
-            for handle in handles:
-                queue.space.release(handle)
         for first in range(0, len(handles), _HANDLES_PER_CALL):
             part = handles[first : first + _HANDLES_PER_CALL]
             gevent.spawn(self._send_release, record, part)
@@ -481,6 +499,10 @@
             if isinstance(reply, Reply):
                 reply.read_all()
                 reply.close()
+        queue = self._queues.get(record.name)
+        if queue is not None:
+            for handle in handles:
+                queue.space.release(handle)
 
     def _on_departure(self, departure: Departure, record: EndpointRecord) -> None:
         """Let waiting pieces go elsewhere when their endpoint leaves."""
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -52,9 +52,9 @@
     ----------
     order : PieceOrder
         What is asked for.
-    limit_at, target_at : float
-        Monotonic times: after the first it is of no use; by the second its request
-        should begin to be answered.
+    limit_at, due_at : float
+        Monotonic times: after the first it is of no use; by the second it has to be
+        begun for its request to meet its target.
     priority : int
         Rank of its request.
     result_bytes : int
@@ -69,7 +69,7 @@
 
     order: PieceOrder
     limit_at: float
-    target_at: float
+    due_at: float
     priority: int
     result_bytes: int
     group: int = 0
@@ -79,6 +79,22 @@
     is_cancelled: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Backlog:
+    """Time until an endpoint would begin with a new piece.
+
+    Attributes
+    ----------
+    on_time_s : float
+        For a piece whose request can meet its target.
+    total_s : float
+        For one whose request cannot.
+    """
+
+    on_time_s: float
+    total_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class QueueParts:
     """What every queue of a node shares."""
@@ -194,14 +210,19 @@
                 piece.is_cancelled = True
                 del self._pieces[number]
 
-    def backlog_s(self) -> float:
-        """Return the estimated time until a new piece would be begun."""
+    def backlog(self) -> Backlog:
+        """Return the estimated times until a new piece would be begun."""
         spec = self._spec()
         if spec is None:
-            return 0.0
+            return Backlog(0.0, 0.0)
+        now = self._parts.clock.monotonic()
         call_s = spec.call_s + spec.batch * spec.piece_s
-        under_way_s = max(0.0, self._call_ends_at - self._parts.clock.monotonic())
-        return under_way_s + len(self._pieces) / spec.batch * call_s
+        under_way_s = max(0.0, self._call_ends_at - now)
+        on_time = sum(1 for piece in self._pieces.values() if piece.due_at >= now)
+        return Backlog(
+            under_way_s + on_time / spec.batch * call_s,
+            under_way_s + len(self._pieces) / spec.batch * call_s,
+        )
 
     def fail_all(self, reason: str) -> None:
         """End every piece that waits; the endpoint takes no more."""
@@ -255,7 +276,7 @@
 
     def _queued(self) -> list[QueuedPiece]:
         return [
-            QueuedPiece(n, p.group, p.target_at, p.priority, _size(p), p.is_reserved)
+            QueuedPiece(n, p.group, p.due_at, p.priority, _size(p), p.is_reserved)
             for n, p in self._pieces.items()
         ]
 
@@ -338,11 +359,15 @@
         for piece, result in zip(pieces, outcome.results, strict=True):
             if isinstance(result, PieceMade):
                 self.space.take(result.handle, _size(piece), spec.keep_s)
-            else:
-                self._log_piece(piece, result)
-                if result.reason == REASON_ROOM:
-                    # Results that other nodes had made there, or larger ones, fill it.
-                    self._no_room_until = self._parts.clock.monotonic() + _REST_S
+                piece.result.set(result)
+                continue
+            self._log_piece(piece, result)
+            if result.reason == REASON_ROOM and not piece.is_cancelled:
+                # Larger results than expected, or those of an earlier owner, fill it.
+                self._no_room_until = self._parts.clock.monotonic() + _REST_S
+                piece.is_reserved = False
+                self._pieces[next(self._numbers)] = piece
+                continue
             piece.result.set(result)
 
     def _log_piece(self, piece: Piece, failed: PieceFailed) -> None:
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import gevent
 from gevent.event import AsyncResult
 from gevent.queue import Queue
 
@@ -15,14 +14,13 @@
 from sapphirehoist.gateway.stage_queue import (
     REASON_LATE,
     REASON_LOST,
-    REASON_ROOM,
+    Backlog,
     Piece,
 )
 from sapphirehoist.routes import Route
 
-# An endpoint without room for results is asked again after a part of a call.
-_ROOM_PAUSE_S = 0.1
-_ROOM_TRIES = 12
+# From the last result to the first token of a prompt that the engine partly holds.
+_FIRST_TOKEN_S = 0.25
 # Pieces that are made again for one request, whatever became of the first.
 _REMAKES = 3
 
@@ -40,6 +38,22 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Forecast:
+    """Time until the first token.
+
+    Attributes
+    ----------
+    on_time_s : float
+        If the request is served before those that miss their target.
+    total_s : float
+        If it is served after all that wait now.
+    """
+
+    on_time_s: float
+    total_s: float
+
+
 @dataclass(slots=True, eq=False)
 class _Open:
     """A piece that has been asked for."""
@@ -82,7 +96,6 @@
         "_priority",
         "_remakes",
         "_results",
-        "_room_tries",
         "_route",
         "_target_at",
         "is_released",
@@ -111,7 +124,6 @@
         self._results: Queue = Queue()
         self._open: list[_Open] = []
         self._remakes = 0
-        self._room_tries = 0
         self.is_released = False
         self._reset()
 
@@ -148,6 +160,47 @@
                 failed = self._mend(ended, result)
         return failed
 
+    def forecast(self) -> Forecast:
+        """Return when the request would begin to be answered, by what waits now."""
+        on_time_s = total_s = _FIRST_TOKEN_S
+        for height in set(self._heights):
+            level = [self._stage_backlog(s) for s in self._level(height)]
+            on_time_s += max((backlog.on_time_s for backlog in level), default=0.0)
+            total_s += max((backlog.total_s for backlog in level), default=0.0)
+        return Forecast(on_time_s, total_s)
+
+    def _level(self, height: int) -> list[int]:
+        """Return the stages of `height` that have pieces to be made."""
+        return [
+            stage
+            for stage, own in enumerate(self._heights)
+            if own == height and not self._is_done(stage)
+        ]
+
+    def _stage_backlog(self, stage: int) -> Backlog:
+        record = self._pools.choose(self._route.stages[stage].service)
+        call_s = self._call_s(stage)
+        if record is None:
+            return Backlog(call_s, call_s)
+        backlog = self._pools.backlog(record)
+        return Backlog(backlog.on_time_s + call_s, backlog.total_s + call_s)
+
+    def _call_s(self, stage: int) -> float:
+        """Return the time of the calls for a stage's pieces, without waiting."""
+        spec = self._pools.spec(self._route.stages[stage].service)
+        pieces = self._counts[stage]
+        if spec is None or not pieces:
+            return 0.0
+        return spec.call_s + min(pieces, spec.batch) * spec.piece_s
+
+    def _time_after(self, stage: int) -> float:
+        """Return the least time from the end of `stage` to the first token."""
+        lower = range(self._heights[stage])
+        return _FIRST_TOKEN_S + sum(
+            max((self._call_s(s) for s in self._level(height)), default=0.0)
+            for height in lower
+        )
+
     def release(self) -> None:
         """Give up every result and every piece that is still wanted."""
         for waiting in self._open:
@@ -215,8 +268,13 @@
         inputs = tuple(h for i in spec.after for h in self._handles[i])
         key = "" if spec.after else self._call.piece_key
         order = PieceOrder(self._call.request_id, stage, index, 0.0, key, inputs)
+        after_s = self._time_after(stage)
         piece = Piece(
-            order, self._limit_at, self._target_at, self._priority, spec.result_bytes
+            order,
+            self._limit_at - after_s,
+            self._target_at - after_s - self._call_s(stage),
+            self._priority,
+            spec.result_bytes,
         )
         waiting = _Open(stage, index, endpoint, piece)
         self._open.append(waiting)
@@ -248,10 +306,6 @@
         )
         if failed.reason == REASON_LATE:
             return detail
-        if failed.reason == REASON_ROOM and self._room_tries < _ROOM_TRIES:
-            self._room_tries += 1
-            gevent.sleep(_ROOM_PAUSE_S)
-            return self._start(ended.stage, [ended.index])
         if self._remakes >= _REMAKES + self._counts[ended.stage]:
             return detail
         self._remakes += 1
--- a/libs/gateway/sapphirehoist/gateway/trace.py
+++ b/libs/gateway/sapphirehoist/gateway/trace.py
@@ -29,6 +29,7 @@
         "config_version",
         "events",
         "first_event_s",
+        "forecast_s",
         "pieces",
         "request_id",
         "route",
@@ -51,6 +52,7 @@
         self.events = 0
         self.stages_s: float | None = None
         self.first_event_s: float | None = None
+        self.forecast_s: float | None = None
 
     def elapsed_s(self) -> float:
         """Return the time since the request arrived."""
@@ -94,6 +96,8 @@
         }
         if detail:
             extra["detail"] = detail
+        if self.forecast_s is not None:
+            extra["forecast_ms"] = round(self.forecast_s * 1000, 1)
         if self.stages_s is not None:
             extra["pieces"] = self.pieces
             extra["stages_ms"] = round(self.stages_s * 1000, 1)
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -19,7 +19,7 @@
 from sapphirehoist.http1.sockets import watch_peer
 from sapphirehoist.observability import Metrics
 
-# One round trip between regions is 40 ms; a lost opening packet is sent again after 1 s.
+# A round trip between regions takes 40 ms; a lost opening packet goes again after 1 s.
 _CONNECT_TIMEOUT_S = 1.2
 _READ_BYTES = 65_536
 # A body that fits the kernel's buffers is written before the answer is awaited.
