Finish requests that hold space first; correct forecasts; know callers that came back

Cause: requests that would miss their target were held back in the middle of their stages, where their results kept others out until all lapsed. Change: pieces of requests that hold space go first; forecasts are multiplied by how earlier ones came out; the target of a second attempt counts from the first; a request that waits for its first results is refused once it cannot be served.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -21,6 +21,7 @@
     StageEndpointPolicy,
     UrgentFirst,
 )
+from sapphirehoist.decisions.forecast import CallerPatience, ForecastCorrection
 from sapphirehoist.decisions.limits import TeamShares
 from sapphirehoist.decisions.load import EndpointLoad, LoadBook
 from sapphirehoist.decisions.placement import (
@@ -62,11 +63,13 @@
     "Admitted",
     "BatchPolicy",
     "BudgetedRetry",
+    "CallerPatience",
     "Candidate",
     "ClassTargets",
     "Distance",
     "EndpointLoad",
     "Failure",
+    "ForecastCorrection",
     "GenerationPlacement",
     "LeastInFlightRouting",
     "LeastLoadedPlacement",
--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -17,12 +17,14 @@
 _PRIORITY_STEP_S = 0.8
 # Groups that need less than this part of the free space pass those that wait for it.
 _SMALL_SHARE = 0.05
-# A round trip and what results cost on the way, in terms of waiting time.
-_FARTHER_S = {
+# Round trips, for the call and for those that use its results.
+_ROUND_TRIPS_S = {
     Distance.SAME_ZONE: 0.0,
-    Distance.SAME_REGION: 0.05,
-    Distance.OTHER_REGION: 0.25,
+    Distance.SAME_REGION: 0.005,
+    Distance.OTHER_REGION: 0.045,
 }
+# What results cost on a link between zones, in terms of waiting time.
+_SECONDS_PER_REMOTE_MB = 0.04
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +44,8 @@
         Rank of its route; 0 is the most urgent.
     result_bytes : int
         Space that its result takes up.
+    is_committed : bool
+        Whether its request holds a good part of some endpoint's space already.
     is_reserved : bool
         Whether space is set aside for it.
     """
@@ -51,6 +55,7 @@
     due_at: float
     priority: int = 0
     result_bytes: int = 0
+    is_committed: bool = False
     is_reserved: bool = False
 
 
@@ -91,7 +96,8 @@
 class UrgentFirst(BatchPolicy):
     """The pieces with the least time left, for whose whole group there is space.
 
-    Pieces whose request will miss its target come after all others. A group that
+    Requests that hold space elsewhere go first, so that they give it up soon; then those
+    that can meet their target; then the others. A group that
     finds no space holds back later ones of its size, so that large requests get their
     turn; groups that need next to nothing pass.
 
@@ -153,8 +159,18 @@
     """Chooses where the pieces of one stage are made."""
 
     @abstractmethod
-    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
-        """Return one of `endpoints`, of which there is at least one."""
+    def choose(
+        self, endpoints: Sequence[StageEndpoint], result_bytes: int
+    ) -> StageEndpoint:
+        """Return one of `endpoints`, of which there is at least one.
+
+        Parameters
+        ----------
+        endpoints : sequence of StageEndpoint
+            The pool.
+        result_bytes : int
+            Size of all results that will be made there.
+        """
 
 
 class NearestStageEndpoint(StageEndpointPolicy):
@@ -162,7 +178,9 @@
 
     __slots__ = ()
 
-    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
+    def choose(
+        self, endpoints: Sequence[StageEndpoint], result_bytes: int
+    ) -> StageEndpoint:
         """Return the nearest endpoint."""
         return min(endpoints, key=lambda endpoint: (endpoint.distance, endpoint.name))
 
@@ -174,23 +192,30 @@
     --------
     >>> near = StageEndpoint("near", Distance.SAME_ZONE, 0.2)
     >>> far = StageEndpoint("far", Distance.OTHER_REGION, 0.0)
-    >>> SoonestStageEndpoint().choose([near, far]).name
+    >>> SoonestStageEndpoint().choose([near, far], 9_000_000).name
     'near'
+    >>> SoonestStageEndpoint().choose([near, far], 9_000).name
+    'far'
     """
 
     __slots__ = ()
 
-    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
+    def choose(
+        self, endpoints: Sequence[StageEndpoint], result_bytes: int
+    ) -> StageEndpoint:
         """Return the endpoint with the least wait."""
-        return min(
-            endpoints,
-            key=lambda endpoint: (
-                endpoint.backlog_s + _FARTHER_S[endpoint.distance],
-                endpoint.name,
-            ),
-        )
+        remote_s = result_bytes / 1e6 * _SECONDS_PER_REMOTE_MB
+
+        def cost_s(endpoint: StageEndpoint) -> tuple[float, str]:
+            farther_s = _ROUND_TRIPS_S[endpoint.distance]
+            if endpoint.distance is not Distance.SAME_ZONE:
+                farther_s += remote_s
+            return endpoint.backlog_s + farther_s, endpoint.name
+
+        return min(endpoints, key=cost_s)
 
 
-def _rank(piece: QueuedPiece, now: float) -> tuple[bool, float]:
+def _rank(piece: QueuedPiece, now: float) -> tuple[bool, bool, float]:
     due = piece.due_at + piece.priority * _PRIORITY_STEP_S
-    return piece.due_at < now, due
+    is_late = piece.due_at < now and not piece.is_committed
+    return not piece.is_committed, is_late, due
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -10,7 +10,11 @@
 import gevent
 
 from sapphirehoist.clock import Clock
-from sapphirehoist.decisions import SharedRetryBudget
+from sapphirehoist.decisions import (
+    CallerPatience,
+    ForecastCorrection,
+    SharedRetryBudget,
+)
 from sapphirehoist.gateway.dialect import BadCall, Call, CallDialect
 from sapphirehoist.gateway.dispatch import (
     CutOff,
@@ -84,10 +88,12 @@
     __slots__ = (
         "_budget",
         "_clock",
+        "_correction",
         "_dialect",
         "_dispatcher",
         "_is_refusing",
         "_metrics",
+        "_patience",
         "_random",
         "_stages",
         "_table",
@@ -115,6 +121,8 @@
         self._clock = clock
         self._random = random
         self._metrics = metrics
+        self._correction = ForecastCorrection()
+        self._patience = CallerPatience()
         self.under_way = 0
 
     def __call__(self, request: CallerRequest, exchange: Exchange) -> None:
@@ -193,6 +201,7 @@
         call, route, team = let_in.call, let_in.route, let_in.team
         deadline_s = route.timeout_s if call.deadline_s is None else call.deadline_s
         limit_s = min(deadline_s - _ANSWER_MARGIN_S, route.timeout_s)
+        elapsed_s = self._patience.elapsed_s(route.name, deadline_s)
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
@@ -205,7 +214,7 @@
             priority,
             request.arrived + limit_s,
             request.arrived + deadline_s,
-            request.arrived + route.target_s,
+            request.arrived + route.target_s - elapsed_s,
         )
 
     def _run(
@@ -220,6 +229,8 @@
             job.target_at,
             job.priority,
             self._stages,
+            self._correction,
+            self._clock,
         )
         trace.pieces = stages.piece_count
         refusal = self._admit(stages, job, trace)
@@ -235,16 +246,18 @@
     def _admit(self, stages: StageJob, job: Job, trace: RequestTrace) -> Refusal | None:
         """Refuse at once what the stage pools cannot make in time."""
         forecast = stages.forecast()
-        trace.forecast_s = forecast.on_time_s
-        left_s = job.limit_at - self._clock.monotonic()
-        if forecast.on_time_s <= job.target_at - self._clock.monotonic():
+        factor = self._correction.factor(job.route.name)
+        trace.forecast_s = forecast.on_time_s * factor
+        now = self._clock.monotonic()
+        if now + forecast.on_time_s * factor <= job.target_at:
             return None
-        if forecast.total_s <= left_s * _FORECAST_MARGIN:
+        left_s = job.limit_at - now
+        wait_s = forecast.total_s * factor - left_s * _FORECAST_MARGIN
+        if wait_s <= 0.0:
             return None
-        wait_s = forecast.total_s - left_s * _FORECAST_MARGIN
         return Refusal(
             Reason.OVERLOADED,
-            f"stages would take {forecast.total_s:.2f} s of {left_s:.2f} s",
+            f"stages would take {forecast.total_s * factor:.2f} s of {left_s:.2f} s",
             min(max(wait_s, _RETRY_STAGES_S), left_s / 3),
         )
 
@@ -257,10 +270,15 @@
         trace: RequestTrace,
     ) -> DispatchOutcome:
         for _ in range(_REBUILDS + 1):
+            started = self._clock.monotonic()
             failed = stages.run()
-            trace.stages_s = trace.elapsed_s()
+            trace.stages_s = self._clock.monotonic() - started
+            trace.stage_ends_s = dict(stages.ended_s)
             if failed is not None:
                 return self._stages_failed(failed, progress)
+            if trace.forecast_s is not None:
+                forecast_s = trace.forecast_s / self._correction.factor(job.route.name)
+                self._correction.observe(job.route.name, forecast_s, trace.stages_s)
             outcome = self._dispatcher.run(job, stages, progress, exchange, trace)
             if not isinstance(outcome, RebuildInputs):
                 return outcome
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -77,6 +77,8 @@
         request to meet its target.
     priority, result_bytes : int
         Rank of the request; size of each result.
+    is_committed : bool
+        Whether the request holds a good part of some endpoint's space already.
     """
 
     KIND: ClassVar[str] = "gateway.make"
@@ -88,6 +90,7 @@
     due_s: float
     priority: int
     result_bytes: int
+    is_committed: bool
 
 
 class MakeAccepted(PeerMessage, frozen=True, array_like=True):
@@ -223,8 +226,10 @@
         bus.subscribe(CancelNews, self._handle_cancel)
         directory.on_departure(self._on_departure)
 
-    def choose(self, service: str, avoid: str = "") -> EndpointRecord | None:
-        """Return the endpoint that should make the next pieces of `service`."""
+    def choose(
+        self, service: str, result_bytes: int, avoid: str = ""
+    ) -> EndpointRecord | None:
+        """Return the endpoint that should make results of `result_bytes` in all."""
         records = self._directory.in_service(service)
         able = [r for r in records if not self._pools.loads.is_ejected(r.name)]
         others = [r for r in able if r.name != avoid]
@@ -237,7 +242,8 @@
                     r.name, self._pools.distance(r), self.backlog(r).on_time_s
                 )
                 for r in candidates
-            ]
+            ],
+            result_bytes,
         )
         return self._directory.get(chosen.name)
 
@@ -340,6 +346,7 @@
             first.due_at - now,
             first.priority,
             first.result_bytes,
+            first.is_committed,
         )
         made = self._tickets_open[ticket] = AsyncResult()
         self._outstanding[record.name] += len(pieces)
@@ -416,6 +423,7 @@
                 now + request.due_s,
                 request.priority,
                 request.result_bytes,
+                request.is_committed,
             )
             for order in request.orders
         ]
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -34,9 +34,9 @@
 _REST_S = 0.08
 # Sends of one piece, the first included.
 _MAX_SENDS = 3
-# Sizes of results are approximate.
+# Sizes of results are approximate. Too little space set aside costs a short call that
+# finds none; too much leaves the endpoint idle.
 _SIZE_MARGIN = 1.1
-_IDLE_LOOK_S = 0.25
 REASON_LOST = "lost"
 REASON_LATE = "late"
 REASON_ROOM = "room"
@@ -59,6 +59,8 @@
         Rank of its request.
     result_bytes : int
         Approximate size of its result.
+    is_committed : bool
+        Whether its request holds a good part of some endpoint's space already.
     group : int
         Pieces of one request at one endpoint.
     is_reserved : bool
@@ -72,6 +74,7 @@
     due_at: float
     priority: int
     result_bytes: int
+    is_committed: bool = False
     group: int = 0
     is_reserved: bool = False
     result: AsyncResult = field(default_factory=AsyncResult)
@@ -218,7 +221,9 @@
         now = self._parts.clock.monotonic()
         call_s = spec.call_s + spec.batch * spec.piece_s
         under_way_s = max(0.0, self._call_ends_at - now)
-        on_time = sum(1 for piece in self._pieces.values() if piece.due_at >= now)
+        on_time = sum(
+            1 for p in self._pieces.values() if p.is_committed or p.due_at >= now
+        )
         return Backlog(
             under_way_s + on_time / spec.batch * call_s,
             under_way_s + len(self._pieces) / spec.batch * call_s,
@@ -276,7 +281,15 @@
 
     def _queued(self) -> list[QueuedPiece]:
         return [
-            QueuedPiece(n, p.group, p.due_at, p.priority, _size(p), p.is_reserved)
+            QueuedPiece(
+                n,
+                p.group,
+                p.due_at,
+                p.priority,
+                _size(p),
+                p.is_committed,
+                p.is_reserved,
+            )
             for n, p in self._pieces.items()
         ]
 
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass
 
 from gevent.event import AsyncResult
-from gevent.queue import Queue
+from gevent.queue import Empty, Queue
 
+from sapphirehoist.clock import Clock
+from sapphirehoist.decisions import ForecastCorrection
 from sapphirehoist.gateway.dialect import Call, PieceFailed, PieceMade, PieceOrder
 from sapphirehoist.gateway.dispatch import StageInputs
 from sapphirehoist.gateway.stage_pools import StagePools
@@ -21,6 +23,10 @@
 
 # From the last result to the first token of a prompt that the engine partly holds.
 _FIRST_TOKEN_S = 0.25
+# Part of an endpoint's space from which on a request is finished rather than held back.
+_COMMITTED_SHARE = 0.05
+# How often a request that waits for its first results is forecast anew.
+_FORECAST_EVERY_S = 0.3
 # Pieces that are made again for one request, whatever became of the first.
 _REMAKES = 3
 
@@ -82,10 +88,21 @@
         Rank of the request.
     pools : StagePools
         Has pieces made.
+    correction : ForecastCorrection
+        Corrects forecasts.
+    clock : Clock
+        Monotonic time.
+
+    Attributes
+    ----------
+    ended_s : dict of int to float
+        Time from the start of the first stage to the end of each.
     """
 
     __slots__ = (
         "_call",
+        "_clock",
+        "_correction",
         "_counts",
         "_endpoints",
         "_handles",
@@ -97,7 +114,9 @@
         "_remakes",
         "_results",
         "_route",
+        "_started_at",
         "_target_at",
+        "ended_s",
         "is_released",
     )
 
@@ -109,7 +128,11 @@
         target_at: float,
         priority: int,
         pools: StagePools,
+        correction: ForecastCorrection,
+        clock: Clock,
     ) -> None:
+        self._correction = correction
+        self._clock = clock
         self._call = call
         self._route = route
         self._limit_at = limit_at
@@ -124,6 +147,8 @@
         self._results: Queue = Queue()
         self._open: list[_Open] = []
         self._remakes = 0
+        self._started_at = 0.0
+        self.ended_s: dict[int, float] = {}
         self.is_released = False
         self._reset()
 
@@ -147,9 +172,14 @@
         """Make all pieces; return why that failed, or None."""
         self._reset()
         self.is_released = False
+        self._started_at = self._clock.monotonic()
         failed = self._start_ready()
         while failed is None and not all(map(self._is_done, range(len(self._counts)))):
-            ended: _Open = self._results.get()
+            ended = self._next_end()
+            if ended is None:
+                if self._is_hopeless():
+                    return StagesFailed("too much waits before it")
+                continue
             if ended not in self._open:
                 continue
             self._open.remove(ended)
@@ -160,6 +190,21 @@
                 failed = self._mend(ended, result)
         return failed
 
+    def _next_end(self) -> _Open | None:
+        try:
+            return self._results.get(timeout=_FORECAST_EVERY_S)
+        except Empty:
+            return None
+
+    def _is_hopeless(self) -> bool:
+        """Return whether a request that holds little should be given up now."""
+        if self._is_committed():
+            return False
+        forecast_s = self._correction.factor(self._route.name)
+        forecast_s *= self.forecast().total_s
+        left_s = self._limit_at - self._clock.monotonic()
+        return forecast_s > left_s and self._target_at < self._clock.monotonic()
+
     def forecast(self) -> Forecast:
         """Return when the request would begin to be answered, by what waits now."""
         on_time_s = total_s = _FIRST_TOKEN_S
@@ -178,13 +223,26 @@
         ]
 
     def _stage_backlog(self, stage: int) -> Backlog:
-        record = self._pools.choose(self._route.stages[stage].service)
+        spec = self._route.stages[stage]
+        all_bytes = spec.result_bytes * self._counts[stage]
+        record = self._pools.choose(spec.service, all_bytes)
         call_s = self._call_s(stage)
         if record is None:
             return Backlog(call_s, call_s)
         backlog = self._pools.backlog(record)
         return Backlog(backlog.on_time_s + call_s, backlog.total_s + call_s)
 
+    def _is_committed(self) -> bool:
+        """Return whether results of this request take up much of some space."""
+        for stage, spec in enumerate(self._route.stages):
+            pool = self._pools.spec(spec.service)
+            held = sum(1 for handle in self._handles[stage] if handle)
+            if pool is None or not pool.room_bytes:
+                continue
+            if held * spec.result_bytes > _COMMITTED_SHARE * pool.room_bytes:
+                return True
+        return False
+
     def _call_s(self, stage: int) -> float:
         """Return the time of the calls for a stage's pieces, without waiting."""
         spec = self._pools.spec(self._route.stages[stage].service)
@@ -253,13 +311,12 @@
         spec = self._route.stages[stage]
         size = self._pools.group_size(spec.service, spec.result_bytes)
         for first in range(0, len(indexes), size):
-            record = self._pools.choose(spec.service, avoid)
+            group = indexes[first : first + size]
+            all_bytes = spec.result_bytes * len(group)
+            record = self._pools.choose(spec.service, all_bytes, avoid)
             if record is None:
                 return StagesFailed(f"stage {stage}: no endpoint")
-            pieces = [
-                self._open_piece(stage, index, record.name)
-                for index in indexes[first : first + size]
-            ]
+            pieces = [self._open_piece(stage, index, record.name) for index in group]
             self._pools.make(record, pieces)
         return None
 
@@ -275,6 +332,7 @@
             self._target_at - after_s - self._call_s(stage),
             self._priority,
             spec.result_bytes,
+            self._is_committed(),
         )
         waiting = _Open(stage, index, endpoint, piece)
         self._open.append(waiting)
@@ -286,6 +344,7 @@
         self._endpoints[ended.stage][ended.index] = ended.endpoint
         if not self._is_done(ended.stage):
             return None
+        self.ended_s[ended.stage] = self._clock.monotonic() - self._started_at
         self._release_used(ended.stage)
         return self._start_ready()
 
--- a/libs/gateway/sapphirehoist/gateway/trace.py
+++ b/libs/gateway/sapphirehoist/gateway/trace.py
@@ -34,6 +34,7 @@
         "request_id",
         "route",
         "service",
+        "stage_ends_s",
         "stages_s",
         "team",
     )
@@ -51,6 +52,7 @@
         self.pieces = 0
         self.events = 0
         self.stages_s: float | None = None
+        self.stage_ends_s: dict[int, float] = {}
         self.first_event_s: float | None = None
         self.forecast_s: float | None = None
 
@@ -101,6 +103,8 @@
         if self.stages_s is not None:
             extra["pieces"] = self.pieces
             extra["stages_ms"] = round(self.stages_s * 1000, 1)
+            ends = sorted(self.stage_ends_s.items())
+            extra["stage_ends_ms"] = {str(s): round(t * 1000, 1) for s, t in ends}
         if self.first_event_s is not None:
             extra["events"] = self.events
             extra["first_event_ms"] = round(self.first_event_s * 1000, 1)
