Share which engines hold which prompts; place by what is left to read

Change: nodes tell each other which engine was sent which parts; placement predicts the first token from unread tokens, distance, inputs' place and memory; pieces of one request are split by the size of a call.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy libs tools bench
+	$(BIN)/mypy libs platform tools bench
 
 format: setup
 	$(BIN)/ruff format .
--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -96,10 +96,10 @@
 class UrgentFirst(BatchPolicy):
     """The pieces with the least time left, for whose whole group there is space.
 
-    Requests that hold space elsewhere go first, so that they give it up soon; then those
-    that can meet their target; then the others. A group that
-    finds no space holds back later ones of its size, so that large requests get their
-    turn; groups that need next to nothing pass.
+    Requests that hold space elsewhere go first, so that they give it up soon; then
+    those that can meet their target; then the others. A group that finds no space
+    holds back later ones of its size, so that large requests get their turn; groups
+    that need next to nothing pass.
 
     Examples
     --------
--- a/libs/decisions/sapphirehoist/decisions/placement.py
+++ b/libs/decisions/sapphirehoist/decisions/placement.py
@@ -9,11 +9,10 @@
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum
 
 from sapphirehoist.clock import Clock
-from sapphirehoist.decisions.subset import rendezvous_score
 
 # Round trips, plus what bytes across the link cost in terms of time.
 _SAME_ZONE_S = 0.001
@@ -21,15 +20,22 @@
 _OTHER_REGION_S = 0.120
 # Prompt tokens that an engine reads in a second.
 _PREFILL_TOKENS_PER_S = 93_000.0
-# Each running generation makes the others slower by about this part.
-_BATCH_SLOWDOWN = 0.02
+# Each running generation makes a step slower by about this part.
+_BATCH_SLOWDOWN = 0.01
+# From the first token's turn to the first event.
+_FIRST_EVENT_S = 0.1
 # Time that a request waits for each one queued before it.
 _QUEUED_S = 0.15
+# Reading a shared part again costs money beside time.
+_SECONDS_PER_TOKEN_AGAIN = 20e-6
+# What results cost on a link between zones, in terms of time.
+_SECONDS_PER_REMOTE_BYTE = 0.03e-6
 # An engine preempts when its memory is full; it is avoided well before.
 _MEMORY_KNEE = 0.75
 _MEMORY_PENALTY_S = 4.0
-_REMEMBERED_PREFIXES = 2_048
-_PREFIX_KEPT_S = 60.0
+_REMEMBERED_PREFIXES = 4_096
+# Engines under load keep a part that is not used for about this long.
+_PREFIX_KEPT_S = 8.0
 
 
 class Distance(IntEnum):
@@ -64,9 +70,13 @@
     work_s : float
         Learned time of a request without queueing; 0 where unknown.
     held_tokens : float
-        Tokens of this node's generations there, times the nodes that likely share it.
+        Estimated tokens of all nodes' generations there.
+    unread_tokens : float
+        Estimated prompt tokens that wait to be read there.
     memory_tokens : int
         Memory of a model engine; 0 for other endpoints.
+    zone : str
+        Its availability zone.
     """
 
     name: str
@@ -75,7 +85,9 @@
     load: float
     work_s: float = 0.0
     held_tokens: float = 0.0
+    unread_tokens: float = 0.0
     memory_tokens: int = 0
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,10 +108,13 @@
         Time of a request at an endpoint that nothing is known of.
     parts : tuple of PromptPart
         The prompt of a generation.
+    input_bytes : dict of str to int
+        Size of the results that the request needs, by availability zone.
     """
 
     expected_s: float = 0.05
     parts: tuple[PromptPart, ...] = ()
+    input_bytes: dict[str, int] = field(default_factory=dict)
 
 
 class PlacementPolicy(ABC):
@@ -142,16 +157,15 @@
 
 
 class GenerationPlacement(PlacementPolicy):
-    """The least predicted time to the first token, with shared prefixes and memory.
+    """The least predicted time to the first token, with shared prompts and memory.
 
-    Nodes agree on an engine for a prefix without talking, by rendezvous among the
-    engines that are equally near; an engine that was sent the prefix lately counts as
-    holding it as well.
+    An engine that was sent a part lately, by this node or by one that told of it,
+    counts as holding it.
 
     Parameters
     ----------
     clock : Clock
-        Ages what is remembered of prefixes.
+        Ages what is remembered of prompts.
     """
 
     __slots__ = ("_clock", "_sent")
@@ -162,43 +176,56 @@
 
     def choose(self, work: Work, places: Sequence[Place]) -> Place:
         """Return the place with the least predicted time to the first token."""
-        nearest = min(place.distance for place in places)
-        near = [place for place in places if place.distance == nearest]
-        key = work.parts[0].name if work.parts else ""
-        favourite = max(near, key=lambda place: rendezvous_score(key, place.name))
+        known = {part.name for part in work.parts if self._is_anywhere(part, places)}
         return min(
             places,
-            key=lambda place: (
-                self._first_token_s(work, place, place is favourite),
-                place.name,
-            ),
+            key=lambda place: (self._first_token_s(work, place, known), place.name),
         )
 
     def placed(self, work: Work, place: Place) -> None:
         """Remember that the parts of the prompt are at `place` now."""
-        now = self._clock.monotonic()
         for part in work.parts:
-            self._sent[(part.name, place.name)] = now
-            self._sent.move_to_end((part.name, place.name))
+            self.learn(part.name, place.name)
+
+    def learn(self, part: str, endpoint: str) -> None:
+        """Remember that `endpoint` was sent `part` just now."""
+        self._sent[(part, endpoint)] = self._clock.monotonic()
+        self._sent.move_to_end((part, endpoint))
         while len(self._sent) > _REMEMBERED_PREFIXES:
             self._sent.popitem(last=False)
 
-    def _first_token_s(self, work: Work, place: Place, is_favourite: bool) -> float:
-        uncached = 0
-        is_cached = True
-        for index, part in enumerate(work.parts):
-            is_cached = is_cached and (
-                self._is_remembered(part, place) or (is_favourite and index == 0)
-            )
-            uncached += 0 if is_cached else part.tokens
-        prefill_s = uncached / _PREFILL_TOKENS_PER_S
-        running = min(place.load, place.slots)
-        queued = max(0.0, place.load + 1 - place.slots)
-        busy_s = (0.1 + prefill_s) * _BATCH_SLOWDOWN * running + queued * _QUEUED_S
-        return _DISTANCE_S[place.distance] + prefill_s + busy_s + _memory_s(work, place)
-
-    def _is_remembered(self, part: PromptPart, place: Place) -> bool:
-        sent = self._sent.get((part.name, place.name))
+    def unread_tokens(self, work: Work, endpoint: str) -> int:
+        """Return the tokens of the prompt that `endpoint` has to read."""
+        unread = 0
+        is_held = True
+        for part in work.parts:
+            is_held = is_held and self._is_remembered(part, endpoint)
+            unread += 0 if is_held else part.tokens
+        return unread
+
+    def _first_token_s(self, work: Work, place: Place, known: set[str]) -> float:
+        unread = self.unread_tokens(work, place.name)
+        shared = sum(part.tokens for part in work.parts if part.name in known)
+        whole = sum(part.tokens for part in work.parts)
+        again = max(0, unread - (whole - shared))
+        read_s = (unread + place.unread_tokens) / _PREFILL_TOKENS_PER_S
+        queued_s = max(0.0, place.load + 1 - place.slots) * _QUEUED_S
+        slowdown = 1.0 + _BATCH_SLOWDOWN * min(place.load, place.slots)
+        remote = sum(n for zone, n in work.input_bytes.items() if zone != place.zone)
+        return (
+            _DISTANCE_S[place.distance]
+            + (read_s + _FIRST_EVENT_S) * slowdown
+            + queued_s
+            + again * _SECONDS_PER_TOKEN_AGAIN
+            + remote * _SECONDS_PER_REMOTE_BYTE
+            + _memory_s(work, place)
+        )
+
+    def _is_anywhere(self, part: PromptPart, places: Sequence[Place]) -> bool:
+        return any(self._is_remembered(part, place.name) for place in places)
+
+    def _is_remembered(self, part: PromptPart, endpoint: str) -> bool:
+        sent = self._sent.get((part.name, endpoint))
         return sent is not None and self._clock.monotonic() - sent < _PREFIX_KEPT_S
 
 
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -10,6 +11,7 @@
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import (
+    GenerationPlacement,
     Place,
     PlacementPolicy,
     SharedRetryBudget,
@@ -135,6 +137,10 @@
     def handles(self) -> tuple[str, ...]:
         """Return the handles that the request is sent with."""
 
+    @abstractmethod
+    def bytes_by_zone(self) -> dict[str, int]:
+        """Return the size of the results by the availability zone they are in."""
+
     @property
     @abstractmethod
     def is_released(self) -> bool:
@@ -165,6 +171,8 @@
         Whether an attempt has not ended.
     first_head : ResponseHead or None
         Head of the answer that the caller has a part of.
+    unread_tokens : int
+        Tokens of the prompt that the engine asked last has still to read.
     """
 
     __slots__ = (
@@ -174,6 +182,7 @@
         "relay",
         "sends",
         "tried",
+        "unread_tokens",
     )
 
     def __init__(self, relay: EventRelay) -> None:
@@ -183,6 +192,7 @@
         self.may_have_run = False
         self.is_under_way = False
         self.first_head: ResponseHead | None = None
+        self.unread_tokens = 0
 
 
 class Dispatcher:
@@ -198,8 +208,10 @@
         Encodes requests.
     budget : SharedRetryBudget
         Allows repeats.
-    plain, generation : PlacementPolicy
+    plain, generation : PlacementPolicy, GenerationPlacement
         Choose endpoints of plain services and model engines.
+    tell_prompt : callable
+        Tells other nodes which engine was sent which parts of a prompt.
     clock, metrics : Clock, Metrics
         Time and the counters ``attempts_total``.
     """
@@ -213,6 +225,7 @@
         "_metrics",
         "_plain",
         "_pools",
+        "_tell_prompt",
     )
 
     def __init__(
@@ -222,7 +235,8 @@
         dialect: CallDialect,
         budget: SharedRetryBudget,
         plain: PlacementPolicy,
-        generation: PlacementPolicy,
+        generation: GenerationPlacement,
+        tell_prompt: Callable[[list[str], str], None],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -232,6 +246,7 @@
         self._budget = budget
         self._plain = plain
         self._generation = generation
+        self._tell_prompt = tell_prompt
         self._clock = clock
         self._metrics = metrics
 
@@ -247,7 +262,7 @@
         last: _Ended | None = None
         while True:
             refusal = self._may_attempt(job, progress)
-            place = None if refusal else self._choose(job, progress)
+            place = None if refusal else self._choose(job, inputs, progress)
             if place is None:
                 return self._give_up(progress, last, refusal)
             if inputs is not None and inputs.is_released:
@@ -298,22 +313,36 @@
             return Refusal(Reason.ENDPOINTS_FULL, "no repeat left in the budget")
         return None
 
-    def _choose(self, job: Job, progress: Progress) -> Place | None:
+    def _choose(
+        self, job: Job, inputs: StageInputs | None, progress: Progress
+    ) -> Place | None:
         places = self._pools.places(job.service, progress.tried)
         if not places:
             return None
-        work = self._work(job)
-        policy = self._policy(job)
-        place = policy.choose(work, places)
-        policy.placed(work, place)
-        return place
+        policy = self._generation if job.service.model_pool else self._plain
+        return policy.choose(self._work(job, inputs), places)
 
-    def _policy(self, job: Job) -> PlacementPolicy:
-        return self._generation if job.service.model_pool else self._plain
-
-    def _work(self, job: Job) -> Work:
+    def _work(self, job: Job, inputs: StageInputs | None) -> Work:
         generation = job.call.generation
-        return Work(job.route.target_s / 4, generation.parts if generation else ())
+        return Work(
+            job.route.target_s / 4,
+            generation.parts if generation is not None else (),
+            inputs.bytes_by_zone() if inputs is not None else {},
+        )
+
+    def _begin_reading(
+        self, job: Job, inputs: StageInputs | None, endpoint: str
+    ) -> int:
+        """Count the prompt at its engine; return the tokens to be read there."""
+        if job.call.generation is None:
+            return 0
+        work = self._work(job, inputs)
+        unread = self._generation.unread_tokens(work, endpoint)
+        self._pools.begin_reading(endpoint, unread)
+        for part in work.parts:
+            self._generation.learn(part.name, endpoint)
+        self._tell_prompt([part.name for part in work.parts], endpoint)
+        return unread
 
     def _attempt(
         self,
@@ -341,6 +370,7 @@
         )
         self._pools.loads.begin(record.name)
         self._pools.hold(record.name, tokens)
+        progress.unread_tokens = self._begin_reading(job, inputs, record.name)
         reply: Reply | NotSent | Lost | None = None
         patience_s = self._patience_s(job, progress, now)
         timeout = gevent.Timeout(patience_s)
@@ -368,8 +398,13 @@
             if isinstance(reply, Reply):
                 reply.close()
             self._pools.release(record.name, tokens)
+            self._end_reading(record.name, progress)
             self._pools.loads.end(record.name)
 
+    def _end_reading(self, endpoint: str, progress: Progress) -> None:
+        self._pools.end_reading(endpoint, progress.unread_tokens)
+        progress.unread_tokens = 0
+
     def _is_own(self, answer: ResponseHead, call: Call) -> bool:
         """Return whether an answer is for this request; refusals may name none."""
         signs = self._dialect.read_signs(answer)
@@ -416,7 +451,9 @@
         )
         if is_good and job.route.kind is CallKind.STREAMING:
             head = progress.first_head or caller_head
-            return self._relay(job, reply, inputs, progress, head, timeout, trace)
+            return self._relay(
+                job, record, reply, inputs, progress, head, timeout, trace
+            )
         body = reply.read_all()
         if isinstance(body, Broken):
             return _Ended(End.LOST, body.detail)
@@ -431,6 +468,7 @@
     def _relay(
         self,
         job: Job,
+        record: EndpointRecord,
         reply: Reply,
         inputs: StageInputs | None,
         progress: Progress,
@@ -448,6 +486,7 @@
             if not block:
                 break
             if relay.pass_on(head, block):
+                self._end_reading(record.name, progress)
                 trace.events = relay.events
                 if trace.first_event_s is None:
                     trace.first_event_s = trace.elapsed_s()
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -31,6 +31,7 @@
 from sapphirehoist.gateway.handler import RequestHandler
 from sapphirehoist.gateway.meeting import MeetingPlace
 from sapphirehoist.gateway.pools import EndpointPools
+from sapphirehoist.gateway.prompt_news import PromptSharing
 from sapphirehoist.gateway.stage_pools import StagePools
 from sapphirehoist.gateway.stage_queue import QueueParts
 from sapphirehoist.http1 import CallerServer, EndpointConnections
@@ -143,6 +144,7 @@
             self._meeting.run,
             self._detector.run,
             self._stages.run,
+            self._prompts.run,
             self._keep_house,
         ):
             self._tasks.append(gevent.spawn(self._supervise, run))
@@ -274,13 +276,16 @@
             parts_of_queues,
             self._table,
         )
+        placement = GenerationPlacement(clock)
+        self._prompts = PromptSharing(self.fleet, self._bus, placement, clock)
         dispatcher = Dispatcher(
             pools,
             self._connections,
             parts.dialect,
             budget,
             PredictedPlacement(),
-            GenerationPlacement(clock),
+            placement,
+            self._prompts.tell,
             clock,
             self.metrics,
         )
--- a/libs/gateway/sapphirehoist/gateway/pools.py
+++ b/libs/gateway/sapphirehoist/gateway/pools.py
@@ -26,7 +26,14 @@
         Load and health.
     """
 
-    __slots__ = ("_directory", "_held_tokens", "_regions", "_zone", "loads")
+    __slots__ = (
+        "_directory",
+        "_held_tokens",
+        "_regions",
+        "_unread_tokens",
+        "_zone",
+        "loads",
+    )
 
     def __init__(
         self,
@@ -40,6 +47,7 @@
         self._directory = directory
         self.loads = loads
         self._held_tokens: Counter[str] = Counter()
+        self._unread_tokens: Counter[str] = Counter()
 
     def distance(self, record: EndpointRecord) -> Distance:
         """Return how far `record` is from this node."""
@@ -84,18 +92,30 @@
         if self._held_tokens[endpoint] <= 0:
             del self._held_tokens[endpoint]
 
+    def begin_reading(self, endpoint: str, tokens: int) -> None:
+        """Count a prompt that an engine has to read."""
+        self._unread_tokens[endpoint] += tokens
+
+    def end_reading(self, endpoint: str, tokens: int) -> None:
+        """Count a prompt as read, or as given up."""
+        self._unread_tokens[endpoint] -= tokens
+        if self._unread_tokens[endpoint] <= 0:
+            del self._unread_tokens[endpoint]
+
     def _place(self, record: EndpointRecord, service: Service) -> Place:
         state = self.loads.get(record.name)
         load = self.loads.estimated_load(record.name)
-        own = max(1, state.in_flight)
         memory = service.model_pool.kv_tokens if service.model_pool else 0
+        # Other nodes' generations are taken to be as large as this node's.
+        others = max(1.0, load / max(1, state.in_flight))
         return Place(
             record.name,
             self.distance(record),
             max(1, record.slots),
             load,
             state.seconds_per_unit,
-            # Other nodes' generations are taken to be as large as this node's.
-            self._held_tokens[record.name] * max(1.0, load / own),
+            self._held_tokens[record.name] * others,
+            self._unread_tokens[record.name] * others,
             memory,
+            record.zone,
         )
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -268,9 +268,12 @@
     def group_size(self, service: str, result_bytes: int) -> int:
         """Return how many pieces of one request one endpoint should make."""
         spec = self.spec(service)
-        if spec is None or not spec.room_bytes or not result_bytes:
+        if spec is None:
             return _LARGEST_GROUP
-        return max(1, int(_GROUP_SHARE * spec.room_bytes / result_bytes))
+        if not spec.room_bytes or not result_bytes:
+            return spec.batch
+        fitting = int(_GROUP_SHARE * spec.room_bytes / result_bytes)
+        return max(1, min(spec.batch, fitting))
 
     def make(self, record: EndpointRecord, pieces: Sequence[Piece]) -> None:
         """Have pieces of one request made at `record`; sets each one's result."""
@@ -301,6 +304,11 @@
             for endpoint, handles in released.items():
                 self._pass_release(endpoint, handles)
 
+    def zone_of(self, endpoint: str) -> str:
+        """Return the availability zone of an endpoint; empty if it is gone."""
+        record = self._directory.get(endpoint)
+        return record.zone if record is not None else ""
+
     def spec(self, service: str) -> StagePool | None:
         """Return how the pool `service` works."""
         table = self._table()
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -163,6 +163,16 @@
         final = self._route.final_stages()
         return tuple(h for stage in final for h in self._handles[stage] if h)
 
+    def bytes_by_zone(self) -> dict[str, int]:
+        """Return the size of the last stages' results by availability zone."""
+        sizes: dict[str, int] = {}
+        for stage in self._route.final_stages():
+            size = self._route.stages[stage].result_bytes
+            for endpoint in filter(None, self._endpoints[stage]):
+                zone = self._pools.zone_of(endpoint)
+                sizes[zone] = sizes.get(zone, 0) + size
+        return sizes
+
     def services(self) -> set[str]:
         """Return the services that make pieces for this request."""
         stages = zip(self._route.stages, self._counts, strict=True)
