--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -24,7 +24,7 @@
     Distance.OTHER_REGION: 0.045,
 }
 # What results cost on a link between zones, in terms of waiting time.
-_SECONDS_PER_REMOTE_MB = 0.04
+_SECONDS_PER_REMOTE_MB = 0.1
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/decisions/sapphirehoist/decisions/placement.py
+++ b/libs/decisions/sapphirehoist/decisions/placement.py
@@ -29,7 +29,7 @@
 # Reading a shared part again costs money beside time.
 _SECONDS_PER_TOKEN_AGAIN = 20e-6
 # What results cost on a link between zones, in terms of time.
-_SECONDS_PER_REMOTE_BYTE = 0.03e-6
+_SECONDS_PER_REMOTE_BYTE = 0.1e-6
 # An engine preempts when its memory is full; it is avoided well before.
 _MEMORY_KNEE = 0.75
 _MEMORY_PENALTY_S = 4.0
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -51,10 +51,10 @@
 # How soon it is noticed that an owner is gone.
 _OWNER_LOOK_S = 0.25
 # Part of an endpoint's space that one request may take; the rest is made elsewhere.
-_GROUP_SHARE = 0.6
+_GROUP_SHARE = 0.35
 _LARGEST_GROUP = 1_000
 # Results that are no longer needed are given up together, soon.
-_RELEASE_EVERY_S = 0.05
+_RELEASE_EVERY_S = 0.02
 _RELEASE_TIMEOUT_S = 1.0
 _HANDLES_PER_CALL = 200
 
@@ -161,6 +161,15 @@
     at: float
 
 
+class CommitNews(PeerMessage, frozen=True, array_like=True):
+    """A request that waits for pieces of an endpoint holds space elsewhere by now."""
+
+    KIND: ClassVar[str] = "gateway.commit"
+
+    endpoint: str
+    request_id: str
+
+
 class StagePools:
     """Has pieces made, by this node's queues or by other owners.
 
@@ -224,6 +233,7 @@
         bus.subscribe(MadeNews, self._handle_made)
         bus.subscribe(ReleaseNews, self._handle_release)
         bus.subscribe(CancelNews, self._handle_cancel)
+        bus.subscribe(CommitNews, self._handle_commit)
         directory.on_departure(self._on_departure)
 
     def choose(
@@ -292,6 +302,15 @@
         elif endpoint in self._queues:
             self._queues[endpoint].cancel(request_id)
 
+    def commit(self, endpoint: str, request_id: str) -> None:
+        """Say that a request that waits for `endpoint` holds space by now."""
+        record = self._directory.get(endpoint)
+        owner = self._owner(record) if record is not None else None
+        if owner is not None:
+            self._bus.tell(owner.peer_address, CommitNews(endpoint, request_id))
+        elif endpoint in self._queues:
+            self._queues[endpoint].commit(request_id)
+
     def release(self, endpoint: str, handle: str) -> None:
         """Give up a result soon."""
         self._released.setdefault(endpoint, []).append(handle)
@@ -485,6 +504,11 @@
         if queue is not None:
             queue.cancel(news.request_id)
 
+    def _handle_commit(self, sender: str, news: CommitNews) -> None:
+        queue = self._queues.get(news.endpoint)
+        if queue is not None:
+            queue.commit(news.request_id)
+
     def _pass_release(self, endpoint: str, handles: list[str]) -> None:
         record = self._directory.get(endpoint)
         if record is None:
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -213,6 +213,12 @@
                 piece.is_cancelled = True
                 del self._pieces[number]
 
+    def commit(self, request_id: str) -> None:
+        """Let the pieces of a request that holds space by now go first."""
+        for piece in self._pieces.values():
+            if piece.order.request_id == request_id:
+                piece.is_committed = True
+
     def backlog(self) -> Backlog:
         """Return the estimated times until a new piece would be begun."""
         spec = self._spec()
@@ -309,6 +315,18 @@
         parts.metrics.count("stage_calls_total", service=service)
         parts.metrics.count("stage_pieces_total", len(pieces), service=service)
         parts.metrics.observe_latency("stage_call_seconds", elapsed_s)
+        _logger.info(
+            "stage call",
+            extra={
+                "service": service,
+                "endpoint": name,
+                "pieces": len(pieces),
+                "requests": sorted({piece.order.request_id for piece in pieces}),
+                "waiting": len(self._pieces),
+                "space_used": self.space.used(),
+                "elapsed_ms": round(elapsed_s * 1000, 1),
+            },
+        )
         if isinstance(outcome, StageResults):
             parts.pools.loads.succeed(name, elapsed_s / expected_s, 1.0)
             self._deliver(spec, pieces, outcome)
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -114,6 +114,7 @@
         "_remakes",
         "_results",
         "_route",
+        "_start_at",
         "_started_at",
         "_target_at",
         "ended_s",
@@ -148,6 +149,7 @@
         self._open: list[_Open] = []
         self._remakes = 0
         self._started_at = 0.0
+        self._start_at: dict[int, float] = {}
         self.ended_s: dict[int, float] = {}
         self.is_released = False
         self._reset()
@@ -183,11 +185,13 @@
         self._reset()
         self.is_released = False
         self._started_at = self._clock.monotonic()
+        self._start_at.clear()
         failed = self._start_ready()
         while failed is None and not all(map(self._is_done, range(len(self._counts)))):
             ended = self._next_end()
             if ended is None:
-                if self._is_hopeless():
+                failed = self._start_due()
+                if failed is None and self._is_hopeless():
                     return StagesFailed("too much waits before it")
                 continue
             if ended not in self._open:
@@ -201,8 +205,12 @@
         return failed
 
     def _next_end(self) -> _Open | None:
+        """Return the next piece that ended; None when it is time to look around."""
+        now = self._clock.monotonic()
+        soonest = min(self._start_at.values(), default=now + _FORECAST_EVERY_S)
+        timeout_s = min(max(soonest - now, 0.0), _FORECAST_EVERY_S)
         try:
-            return self._results.get(timeout=_FORECAST_EVERY_S)
+            return self._results.get(timeout=timeout_s)
         except Empty:
             return None
 
@@ -303,18 +311,42 @@
         return all(self._handles[stage])
 
     def _start_ready(self) -> StagesFailed | None:
-        """Start the stages that nothing higher is left before."""
-        started = {waiting.stage for waiting in self._open}
+        """Start the stages that nothing higher is left before.
+
+        Of those that are ready together, the shorter ones start later, so that all end
+        at about the same time and no result takes up space while it waits for others.
+        """
+        started = {waiting.stage for waiting in self._open} | set(self._start_at)
         pending = [s for s in range(len(self._counts)) if not self._is_done(s)]
         highest = max((self._heights[s] for s in pending), default=0)
-        for stage in pending:
-            if self._heights[stage] == highest and stage not in started:
-                missing = [i for i, h in enumerate(self._handles[stage]) if not h]
-                failed = self._start(stage, missing)
-                if failed is not None:
-                    return failed
+        ready = [s for s in pending if self._heights[s] == highest and s not in started]
+        if len(ready) > 1:
+            now = self._clock.monotonic()
+            times = {s: self._stage_backlog(s).on_time_s for s in ready}
+            longest = max(times.values())
+            self._start_at |= {s: now + longest - t for s, t in times.items()}
+            return self._start_due()
+        for stage in ready:
+            failed = self._start_missing(stage)
+            if failed is not None:
+                return failed
+        return None
+
+    def _start_due(self) -> StagesFailed | None:
+        """Start the stages whose time has come."""
+        now = self._clock.monotonic()
+        for stage in [s for s, at in self._start_at.items() if at <= now]:
+            del self._start_at[stage]
+            failed = self._start_missing(stage)
+            if failed is not None:
+                return failed
         return None
 
+    def _start_missing(self, stage: int) -> StagesFailed | None:
+        return self._start(
+            stage, [i for i, h in enumerate(self._handles[stage]) if not h]
+        )
+
     def _start(
         self, stage: int, indexes: list[int], avoid: str = ""
     ) -> StagesFailed | None:
@@ -353,11 +385,22 @@
         self._handles[ended.stage][ended.index] = made.handle
         self._endpoints[ended.stage][ended.index] = ended.endpoint
         if not self._is_done(ended.stage):
+            self._commit_waiting()
             return None
         self.ended_s[ended.stage] = self._clock.monotonic() - self._started_at
         self._release_used(ended.stage)
         return self._start_ready()
 
+    def _commit_waiting(self) -> None:
+        """Let the pieces that still wait go first once the others take up space."""
+        waiting = [w for w in self._open if not w.piece.is_committed]
+        if not waiting or not self._is_committed():
+            return
+        for endpoint in {w.endpoint for w in waiting}:
+            self._pools.commit(endpoint, self._call.request_id)
+        for w in waiting:
+            w.piece.is_committed = True
+
     def _release_used(self, done: int) -> None:
         """Give up results whose every user is done."""
         for stage in self._route.stages[done].after:
@@ -381,6 +424,7 @@
         if failed.reason == "gone":
             self.release()
             self.is_released = False
+            self._start_at.clear()
             return self._start_ready()
         avoid = ended.endpoint if failed.reason == REASON_LOST else ""
         return self._start(ended.stage, [ended.index], avoid)
