--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -36,7 +36,7 @@
 _MAX_SENDS = 3
 # Sizes of results are approximate. Too little space set aside costs a short call that
 # finds none; too much leaves the endpoint idle.
-_SIZE_MARGIN = 1.1
+_SIZE_MARGIN = 0.9
 REASON_LOST = "lost"
 REASON_LATE = "late"
 REASON_ROOM = "room"
