--- a/libs/discovery/sapphirehoist/discovery/directory.py
+++ b/libs/discovery/sapphirehoist/discovery/directory.py
@@ -113,15 +113,13 @@
                 return
             record = replace(record, phase=EndpointPhase.DRAINING)
         self._records[record.name] = record
-        is_new = known is None or known.born_ms != record.born_ms
-        if is_new or known.phase is not record.phase or known.service != record.service:
-            self._log_change(record, "new" if is_new else record.phase.value, "table")
-            self._index()
-        elif known != record:
-            self._index()
-        if record.phase is EndpointPhase.DRAINING and (
-            known is None or known.phase is not EndpointPhase.DRAINING
-        ):
+        self._index()
+        if known is None or known.born_ms != record.born_ms:
+            self._log_change(record, "new", "table")
+        elif (known.phase, known.service) != (record.phase, record.service):
+            self._log_change(record, record.phase.value, "table")
+        was_draining = known is not None and known.phase is EndpointPhase.DRAINING
+        if record.phase is EndpointPhase.DRAINING and not was_draining:
             self._tell(record, EndpointPhase.DRAINING)
 
     def drop(self, name: str, is_after_outage: bool, reason: str) -> None:
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -429,7 +429,10 @@
         """Queue the pieces of a failed call again where that is allowed."""
         parts, record = self._parts, self.record
         is_refused = isinstance(outcome, PieceFailed)
-        if not is_refused:
+        if isinstance(outcome, PieceFailed):
+            detail = outcome.reason
+        else:
+            detail = outcome.detail
             parts.pools.loads.fail(record.name, parts.pools.names(record.service))
         kind = "refused" if is_refused else type(outcome).__name__
         parts.metrics.count(
@@ -441,7 +444,7 @@
                 "service": record.service,
                 "endpoint": record.name,
                 "kind": kind,
-                "detail": outcome.reason if is_refused else outcome.detail,
+                "detail": detail,
                 "requests": sorted({piece.order.request_id for piece in pieces}),
                 "elapsed_ms": round(elapsed_s * 1000, 1),
                 "ejected": parts.pools.loads.is_ejected(record.name),
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -107,6 +107,7 @@
         "_endpoints",
         "_handles",
         "_heights",
+        "_is_released",
         "_limit_at",
         "_open",
         "_pools",
@@ -118,7 +119,6 @@
         "_started_at",
         "_target_at",
         "ended_s",
-        "is_released",
     )
 
     def __init__(
@@ -151,7 +151,7 @@
         self._started_at = 0.0
         self._start_at: dict[int, float] = {}
         self.ended_s: dict[int, float] = {}
-        self.is_released = False
+        self._is_released = False
         self._reset()
 
     @property
@@ -159,6 +159,11 @@
         """Return the pieces of all stages."""
         return sum(self._counts)
 
+    @property
+    def is_released(self) -> bool:
+        """Return whether the results were given up."""
+        return self._is_released
+
     @property
     def handles(self) -> tuple[str, ...]:
         """Return the handles of the last stages, by stage and piece."""
@@ -183,7 +188,7 @@
     def run(self) -> StagesFailed | None:
         """Make all pieces; return why that failed, or None."""
         self._reset()
-        self.is_released = False
+        self._is_released = False
         self._started_at = self._clock.monotonic()
         self._start_at.clear()
         failed = self._start_ready()
@@ -288,7 +293,7 @@
         for stage in range(len(self._counts)):
             self._release_stage(stage)
         self._reset()
-        self.is_released = True
+        self._is_released = True
 
     def _release_late(self, endpoint: str) -> Callable[[AsyncResult], None]:
         def release(result: AsyncResult) -> None:
@@ -423,7 +428,7 @@
         self._remakes += 1
         if failed.reason == "gone":
             self.release()
-            self.is_released = False
+            self._is_released = False
             self._start_at.clear()
             return self._start_ready()
         avoid = ended.endpoint if failed.reason == REASON_LOST else ""
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -253,8 +253,10 @@
     def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             event = self._h11.next_event()
-            if event is not h11.NEED_DATA:
+            if isinstance(event, h11.Event):
                 return event
+            if event is h11.PAUSED:
+                return h11.PAUSED
             self._h11.receive_data(self._sock.recv(_READ_BYTES))
 
     def _take_idle_limit(self, head: ResponseHead) -> None:
