Make large results where they will be read

Change: the engine that would be chosen now decides where the last stages' pieces are made, at the price of a link that results cross.

--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -148,11 +148,14 @@
         Which one, and how far from this node.
     backlog_s : float
         Estimated time until it would begin with a new piece.
+    is_near_reader : bool
+        Whether its results will be read in its own availability zone.
     """
 
     name: str
     distance: Distance
     backlog_s: float = 0.0
+    is_near_reader: bool = True
 
 
 class StageEndpointPolicy(ABC):
@@ -191,7 +194,7 @@
     Examples
     --------
     >>> near = StageEndpoint("near", Distance.SAME_ZONE, 0.2)
-    >>> far = StageEndpoint("far", Distance.OTHER_REGION, 0.0)
+    >>> far = StageEndpoint("far", Distance.OTHER_REGION, 0.0, False)
     >>> SoonestStageEndpoint().choose([near, far], 9_000_000).name
     'near'
     >>> SoonestStageEndpoint().choose([near, far], 9_000).name
@@ -208,7 +211,7 @@
 
         def cost_s(endpoint: StageEndpoint) -> tuple[float, str]:
             farther_s = _ROUND_TRIPS_S[endpoint.distance]
-            if endpoint.distance is not Distance.SAME_ZONE:
+            if not endpoint.is_near_reader:
                 farther_s += remote_s
             return endpoint.backlog_s + farther_s, endpoint.name
 
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -262,7 +262,7 @@
         last: _Ended | None = None
         while True:
             refusal = self._may_attempt(job, progress)
-            place = None if refusal else self._choose(job, inputs, progress)
+            place = None if refusal else self._choose(job, inputs, progress.tried)
             if place is None:
                 return self._give_up(progress, last, refusal)
             if inputs is not None and inputs.is_released:
@@ -280,6 +280,11 @@
             if follows is Next.GIVE_UP:
                 return self._give_up(progress, last, None)
 
+    def expected_zone(self, job: Job) -> str:
+        """Return the availability zone of the engine that would be chosen now."""
+        place = self._choose(job, None, frozenset())
+        return place.zone if place is not None else ""
+
     def _try(
         self,
         job: Job,
@@ -314,9 +319,9 @@
         return None
 
     def _choose(
-        self, job: Job, inputs: StageInputs | None, progress: Progress
+        self, job: Job, inputs: StageInputs | None, tried: Collection[str]
     ) -> Place | None:
-        places = self._pools.places(job.service, progress.tried)
+        places = self._pools.places(job.service, tried)
         if not places:
             return None
         policy = self._generation if job.service.model_pool else self._plain
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -83,6 +83,8 @@
         Whether the node is about to stop and takes no more requests.
     clock, random, metrics : Clock, Random, Metrics
         Time, spread of returns, counters ``requests_total``.
+    zone : str
+        This node's availability zone.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         "_random",
         "_stages",
         "_table",
+        "_zone",
         "under_way",
     )
 
@@ -111,7 +114,9 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
+        zone: str,
     ) -> None:
+        self._zone = zone
         self._table = table
         self._dialect = dialect
         self._dispatcher = dispatcher
@@ -231,6 +236,8 @@
             self._stages,
             self._correction,
             self._clock,
+            self._zone,
+            self._dispatcher.expected_zone(job),
         )
         trace.pieces = stages.piece_count
         refusal = self._admit(stages, job, trace)
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -237,9 +237,26 @@
         directory.on_departure(self._on_departure)
 
     def choose(
-        self, service: str, result_bytes: int, avoid: str = ""
+        self, service: str, result_bytes: int, reader_zone: str, avoid: str = ""
     ) -> EndpointRecord | None:
-        """Return the endpoint that should make results of `result_bytes` in all."""
+        """Return the endpoint that should make pieces.
+
+        Parameters
+        ----------
+        service : str
+            Pool of the endpoint.
+        result_bytes : int
+            Size of all results.
+        reader_zone : str
+            Availability zone in which they will be read.
+        avoid : str
+            Endpoint that is chosen only if there is no other.
+
+        Returns
+        -------
+        EndpointRecord or None
+            None while the pool has no endpoint in service.
+        """
         records = self._directory.in_service(service)
         able = [r for r in records if not self._pools.loads.is_ejected(r.name)]
         others = [r for r in able if r.name != avoid]
@@ -249,7 +266,10 @@
         chosen = self._choice.choose(
             [
                 StageEndpoint(
-                    r.name, self._pools.distance(r), self.backlog(r).on_time_s
+                    r.name,
+                    self._pools.distance(r),
+                    self.backlog(r).on_time_s,
+                    r.zone == reader_zone,
                 )
                 for r in candidates
             ],
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -92,6 +92,9 @@
         Corrects forecasts.
     clock : Clock
         Monotonic time.
+    own_zone, answer_zone : str
+        Availability zones of this node, and of the engine that will likely read the
+        last results.
 
     Attributes
     ----------
@@ -100,6 +103,7 @@
     """
 
     __slots__ = (
+        "_answer_zone",
         "_call",
         "_clock",
         "_correction",
@@ -110,6 +114,7 @@
         "_is_released",
         "_limit_at",
         "_open",
+        "_own_zone",
         "_pools",
         "_priority",
         "_remakes",
@@ -131,7 +136,11 @@
         pools: StagePools,
         correction: ForecastCorrection,
         clock: Clock,
+        own_zone: str,
+        answer_zone: str,
     ) -> None:
+        self._own_zone = own_zone
+        self._answer_zone = answer_zone
         self._correction = correction
         self._clock = clock
         self._call = call
@@ -248,7 +257,8 @@
     def _stage_backlog(self, stage: int) -> Backlog:
         spec = self._route.stages[stage]
         all_bytes = spec.result_bytes * self._counts[stage]
-        record = self._pools.choose(spec.service, all_bytes)
+        zone = self._reader_zone(stage)
+        record = self._pools.choose(spec.service, all_bytes, zone)
         call_s = self._call_s(stage)
         if record is None:
             return Backlog(call_s, call_s)
@@ -266,6 +276,10 @@
                 return True
         return False
 
+    def _reader_zone(self, stage: int) -> str:
+        """Return where the results of `stage` will be read."""
+        return self._answer_zone if not self._heights[stage] else self._own_zone
+
     def _call_s(self, stage: int) -> float:
         """Return the time of the calls for a stage's pieces, without waiting."""
         spec = self._pools.spec(self._route.stages[stage].service)
@@ -360,7 +374,8 @@
         for first in range(0, len(indexes), size):
             group = indexes[first : first + size]
             all_bytes = spec.result_bytes * len(group)
-            record = self._pools.choose(spec.service, all_bytes, avoid)
+            zone = self._reader_zone(stage)
+            record = self._pools.choose(spec.service, all_bytes, zone, avoid)
             if record is None:
                 return StagesFailed(f"stage {stage}: no endpoint")
             pieces = [self._open_piece(stage, index, record.name) for index in group]
