Count the inputs that a stage fetches from other zones

Change: bytes of inputs and results that would cross zones count as waiting time when an endpoint is chosen, 0.04 s a megabyte.

--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -24,7 +24,7 @@
     Distance.OTHER_REGION: 0.045,
 }
 # What results cost on a link between zones, in terms of waiting time.
-_SECONDS_PER_REMOTE_MB = 0.1
+_SECONDS_PER_REMOTE_MB = 0.04
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,32 +148,23 @@
         Which one, and how far from this node.
     backlog_s : float
         Estimated time until it would begin with a new piece.
-    is_near_reader : bool
-        Whether its results will be read in its own availability zone.
+    remote_bytes : int
+        Inputs that it would fetch from other availability zones, and results that
+        would be read in others.
     """
 
     name: str
     distance: Distance
     backlog_s: float = 0.0
-    is_near_reader: bool = True
+    remote_bytes: int = 0
 
 
 class StageEndpointPolicy(ABC):
     """Chooses where the pieces of one stage are made."""
 
     @abstractmethod
-    def choose(
-        self, endpoints: Sequence[StageEndpoint], result_bytes: int
-    ) -> StageEndpoint:
-        """Return one of `endpoints`, of which there is at least one.
-
-        Parameters
-        ----------
-        endpoints : sequence of StageEndpoint
-            The pool.
-        result_bytes : int
-            Size of all results that will be made there.
-        """
+    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
+        """Return one of `endpoints`, of which there is at least one."""
 
 
 class NearestStageEndpoint(StageEndpointPolicy):
@@ -181,41 +172,37 @@
 
     __slots__ = ()
 
-    def choose(
-        self, endpoints: Sequence[StageEndpoint], result_bytes: int
-    ) -> StageEndpoint:
+    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
         """Return the nearest endpoint."""
         return min(endpoints, key=lambda endpoint: (endpoint.distance, endpoint.name))
 
 
 class SoonestStageEndpoint(StageEndpointPolicy):
-    """The one that begins first; distance counts as waiting time.
+    """The one that begins first; distance and bytes on links count as waiting time.
 
     Examples
     --------
     >>> near = StageEndpoint("near", Distance.SAME_ZONE, 0.2)
-    >>> far = StageEndpoint("far", Distance.OTHER_REGION, 0.0, False)
-    >>> SoonestStageEndpoint().choose([near, far], 9_000_000).name
+    >>> far = StageEndpoint("far", Distance.OTHER_REGION, 0.0, 9_000_000)
+    >>> SoonestStageEndpoint().choose([near, far]).name
     'near'
-    >>> SoonestStageEndpoint().choose([near, far], 9_000).name
-    'far'
+    >>> small = StageEndpoint("small", Distance.OTHER_REGION, 0.0, 9_000)
+    >>> SoonestStageEndpoint().choose([near, small]).name
+    'small'
     """
 
     __slots__ = ()
 
-    def choose(
-        self, endpoints: Sequence[StageEndpoint], result_bytes: int
-    ) -> StageEndpoint:
+    def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
         """Return the endpoint with the least wait."""
-        remote_s = result_bytes / 1e6 * _SECONDS_PER_REMOTE_MB
+        return min(
+            endpoints, key=lambda endpoint: (_waiting_s(endpoint), endpoint.name)
+        )
 
-        def cost_s(endpoint: StageEndpoint) -> tuple[float, str]:
-            farther_s = _ROUND_TRIPS_S[endpoint.distance]
-            if not endpoint.is_near_reader:
-                farther_s += remote_s
-            return endpoint.backlog_s + farther_s, endpoint.name
 
-        return min(endpoints, key=cost_s)
+def _waiting_s(endpoint: StageEndpoint) -> float:
+    links_s = endpoint.remote_bytes / 1e6 * _SECONDS_PER_REMOTE_MB
+    return endpoint.backlog_s + _ROUND_TRIPS_S[endpoint.distance] + links_s
 
 
 def _rank(piece: QueuedPiece, now: float) -> tuple[bool, bool, float]:
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -83,8 +83,6 @@
         Whether the node is about to stop and takes no more requests.
     clock, random, metrics : Clock, Random, Metrics
         Time, spread of returns, counters ``requests_total``.
-    zone : str
-        This node's availability zone.
     """
 
     __slots__ = (
@@ -99,7 +97,6 @@
         "_random",
         "_stages",
         "_table",
-        "_zone",
         "under_way",
     )
 
@@ -114,9 +111,7 @@
         clock: Clock,
         random: Random,
         metrics: Metrics,
-        zone: str,
     ) -> None:
-        self._zone = zone
         self._table = table
         self._dialect = dialect
         self._dispatcher = dispatcher
@@ -236,7 +231,6 @@
             self._stages,
             self._correction,
             self._clock,
-            self._zone,
             self._dispatcher.expected_zone(job),
         )
         trace.pieces = stages.piece_count
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -299,7 +299,6 @@
             clock,
             parts.random,
             self.metrics,
-            settings.zone,
         )
         self._server = CallerServer(
             settings.caller_address, self.handler, self._limits, clock, self.metrics
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -237,7 +237,7 @@
         directory.on_departure(self._on_departure)
 
     def choose(
-        self, service: str, result_bytes: int, reader_zone: str, avoid: str = ""
+        self, service: str, remote_bytes: Callable[[str], int], avoid: str = ""
     ) -> EndpointRecord | None:
         """Return the endpoint that should make pieces.
 
@@ -245,10 +245,8 @@
         ----------
         service : str
             Pool of the endpoint.
-        result_bytes : int
-            Size of all results.
-        reader_zone : str
-            Availability zone in which they will be read.
+        remote_bytes : callable
+            Returns the bytes that cross zones if pieces are made in a given one.
         avoid : str
             Endpoint that is chosen only if there is no other.
 
@@ -269,11 +267,10 @@
                     r.name,
                     self._pools.distance(r),
                     self.backlog(r).on_time_s,
-                    r.zone == reader_zone,
+                    remote_bytes(r.zone),
                 )
                 for r in candidates
-            ],
-            result_bytes,
+            ]
         )
         return self._directory.get(chosen.name)
 
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -92,9 +92,8 @@
         Corrects forecasts.
     clock : Clock
         Monotonic time.
-    own_zone, answer_zone : str
-        Availability zones of this node, and of the engine that will likely read the
-        last results.
+    answer_zone : str
+        Availability zone of the engine that will likely read the last results.
 
     Attributes
     ----------
@@ -114,7 +113,6 @@
         "_is_released",
         "_limit_at",
         "_open",
-        "_own_zone",
         "_pools",
         "_priority",
         "_remakes",
@@ -136,10 +134,8 @@
         pools: StagePools,
         correction: ForecastCorrection,
         clock: Clock,
-        own_zone: str,
         answer_zone: str,
     ) -> None:
-        self._own_zone = own_zone
         self._answer_zone = answer_zone
         self._correction = correction
         self._clock = clock
@@ -256,9 +252,8 @@
 
     def _stage_backlog(self, stage: int) -> Backlog:
         spec = self._route.stages[stage]
-        all_bytes = spec.result_bytes * self._counts[stage]
-        zone = self._reader_zone(stage)
-        record = self._pools.choose(spec.service, all_bytes, zone)
+        remote = self._remote_bytes(stage, self._counts[stage])
+        record = self._pools.choose(spec.service, remote)
         call_s = self._call_s(stage)
         if record is None:
             return Backlog(call_s, call_s)
@@ -276,9 +271,26 @@
                 return True
         return False
 
-    def _reader_zone(self, stage: int) -> str:
-        """Return where the results of `stage` will be read."""
-        return self._answer_zone if not self._heights[stage] else self._own_zone
+    def _remote_bytes(self, stage: int, pieces: int) -> Callable[[str], int]:
+        """Return how many bytes cross zones if `pieces` are made in a given one.
+
+        Each piece fetches every input; results are read by the engine that answers, or
+        by the next stage, which is then made where they are.
+        """
+        spec = self._route.stages[stage]
+        result_bytes = 0 if self._heights[stage] else pieces * spec.result_bytes
+        inputs: dict[str, int] = {}
+        for before in spec.after:
+            size = self._route.stages[before].result_bytes
+            for endpoint in filter(None, self._endpoints[before]):
+                zone = self._pools.zone_of(endpoint)
+                inputs[zone] = inputs.get(zone, 0) + pieces * size
+
+        def remote(zone: str) -> int:
+            fetched = sum(size for where, size in inputs.items() if where != zone)
+            return fetched + (result_bytes if zone != self._answer_zone else 0)
+
+        return remote
 
     def _call_s(self, stage: int) -> float:
         """Return the time of the calls for a stage's pieces, without waiting."""
@@ -373,9 +385,8 @@
         size = self._pools.group_size(spec.service, spec.result_bytes)
         for first in range(0, len(indexes), size):
             group = indexes[first : first + size]
-            all_bytes = spec.result_bytes * len(group)
-            zone = self._reader_zone(stage)
-            record = self._pools.choose(spec.service, all_bytes, zone, avoid)
+            remote = self._remote_bytes(stage, len(group))
+            record = self._pools.choose(spec.service, remote, avoid)
             if record is None:
                 return StagesFailed(f"stage {stage}: no endpoint")
             pieces = [self._open_piece(stage, index, record.name) for index in group]
