--- /dev/null
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_stage_decisions.py
@@ -0,0 +1,205 @@
+"""Batching, space, placement, budget and forecasts under the load they answer."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sapphirehoist.clock import ManualClock
+from sapphirehoist.decisions import (
+    CallerPatience,
+    Distance,
+    ForecastCorrection,
+    GenerationPlacement,
+    LeastLoadedPlacement,
+    NearestStageEndpoint,
+    OneByOne,
+    Place,
+    PredictedPlacement,
+    PromptPart,
+    QueuedPiece,
+    SharedRetryBudget,
+    SoonestStageEndpoint,
+    StageEndpoint,
+    UrgentFirst,
+    Work,
+)
+
+
+def pieces(count: int, group: int, due_at: float, size: int = 1) -> list[QueuedPiece]:
+    return [
+        QueuedPiece(group * 100 + i, group, due_at, 0, size, is_reserved=True)
+        for i in range(count)
+    ]
+
+
+class TestUrgentFirst:
+    def test_calls_are_filled_where_the_baseline_sends_single_pieces(self) -> None:
+        waiting = pieces(6, 1, 5.0) + pieces(6, 2, 4.0)
+        assert len(UrgentFirst().fill(waiting, 7, 0.0)) == 7
+        assert len(OneByOne().fill(waiting, 7, 0.0)) == 1
+
+    def test_the_least_time_left_goes_first(self) -> None:
+        chosen = UrgentFirst().fill(pieces(2, 1, 5.0) + pieces(2, 2, 4.0), 2, 0.0)
+        assert chosen == (200, 201)
+
+    def test_what_can_meet_its_target_goes_before_what_cannot(self) -> None:
+        chosen = UrgentFirst().fill(pieces(1, 1, 1.0) + pieces(1, 2, 9.0), 1, 2.0)
+        assert chosen == (200,)
+
+    def test_a_request_that_holds_space_goes_first(self) -> None:
+        holding = QueuedPiece(1, 1, 1.0, 2, 1, is_committed=True, is_reserved=True)
+        chosen = UrgentFirst().fill([*pieces(1, 2, 9.0), holding], 1, 2.0)
+        assert chosen == (1,)
+
+    def test_a_group_gets_space_whole_or_not_at_all(self) -> None:
+        chosen = UrgentFirst().reserve(pieces(3, 1, 5.0, 4), 8.0, 0.0)
+        assert chosen == ()
+
+    def test_later_groups_do_not_pass_a_large_one(self) -> None:
+        waiting = pieces(3, 1, 4.0, 4) + pieces(1, 2, 5.0, 4)
+        assert UrgentFirst().reserve(waiting, 8.0, 0.0) == ()
+
+    def test_small_groups_pass(self) -> None:
+        waiting = pieces(3, 1, 4.0, 400) + pieces(1, 2, 5.0, 1)
+        assert UrgentFirst().reserve(waiting, 800.0, 0.0) == (200,)
+
+    @settings(derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(1, 6), st.integers(1, 9), st.floats(0, 9), st.booleans()
+            ),
+            max_size=12,
+        ),
+        st.integers(0, 60),
+    )
+    def test_space_is_never_given_twice(
+        self, groups: list[tuple[int, int, float, bool]], room: int
+    ) -> None:
+        waiting = [
+            QueuedPiece(g * 100 + i, g, due, 0, size, committed)
+            for g, (count, size, due, committed) in enumerate(groups)
+            for i in range(count)
+        ]
+        chosen = set(UrgentFirst().reserve(waiting, float(room), 4.0))
+        assert sum(p.result_bytes for p in waiting if p.number in chosen) <= room
+        for group in {p.group for p in waiting}:
+            numbers = {p.number for p in waiting if p.group == group}
+            assert numbers <= chosen or not numbers & chosen
+
+
+class TestStageEndpoints:
+    def test_an_idle_endpoint_far_away_relieves_a_busy_one(self) -> None:
+        near = StageEndpoint("near", Distance.SAME_ZONE, 0.6)
+        far = StageEndpoint("far", Distance.OTHER_REGION, 0.0, 50_000)
+        assert SoonestStageEndpoint().choose([near, far]).name == "far"
+        assert NearestStageEndpoint().choose([near, far]).name == "near"
+
+    def test_large_results_stay(self) -> None:
+        near = StageEndpoint("near", Distance.SAME_ZONE, 0.2)
+        far = StageEndpoint("far", Distance.OTHER_REGION, 0.0, 9_000_000)
+        assert SoonestStageEndpoint().choose([near, far]).name == "near"
+
+
+def engine(name: str, distance: Distance, **more: float) -> Place:
+    return Place(
+        name, distance, 48, more.pop("load", 0.0), memory_tokens=400_000, **more
+    )  # type: ignore[arg-type]
+
+
+PROMPT = Work(parts=(PromptPart("shared", 13_000), PromptPart("own", 3_000)))
+
+
+class TestGenerationPlacement:
+    def test_a_prompt_returns_to_the_engine_that_holds_it(self) -> None:
+        placement = GenerationPlacement(ManualClock())
+        near = engine("near", Distance.SAME_ZONE)
+        far = engine("far", Distance.OTHER_REGION)
+        assert placement.choose(PROMPT, [near, far]).name == "near"
+        placement.learn("shared", "far")
+        assert placement.choose(PROMPT, [near, far]).name == "far"
+
+    def test_what_was_sent_long_ago_is_forgotten(self) -> None:
+        clock = ManualClock()
+        placement = GenerationPlacement(clock)
+        placement.learn("shared", "far")
+        clock.advance(10.0)
+        places = [
+            engine("near", Distance.SAME_ZONE),
+            engine("far", Distance.OTHER_REGION),
+        ]
+        assert placement.choose(PROMPT, places).name == "near"
+
+    def test_prompts_that_wait_to_be_read_send_the_next_one_elsewhere(self) -> None:
+        places = [
+            engine("near", Distance.SAME_ZONE, unread_tokens=60_000.0),
+            engine("far", Distance.OTHER_REGION),
+        ]
+        placement = GenerationPlacement(ManualClock())
+        assert placement.choose(PROMPT, places).name == "far"
+
+    def test_a_full_memory_is_avoided(self) -> None:
+        places = [
+            engine("near", Distance.SAME_ZONE, held_tokens=390_000.0),
+            engine("far", Distance.OTHER_REGION),
+        ]
+        assert GenerationPlacement(ManualClock()).choose(PROMPT, places).name == "far"
+
+
+class TestPlainPlacement:
+    def test_a_full_endpoint_nearby_gives_way(self) -> None:
+        near = Place("near", Distance.SAME_ZONE, 6, 30.0, 0.05)
+        far = Place("far", Distance.OTHER_REGION, 6, 0.0, 0.05)
+        assert PredictedPlacement().choose(Work(), [near, far]).name == "far"
+
+    def test_a_slow_endpoint_is_avoided_where_the_baseline_takes_it(self) -> None:
+        slow = Place("slow", Distance.SAME_ZONE, 6, 0.0, 0.5)
+        quick = Place("quick", Distance.SAME_ZONE, 6, 1.0, 0.05)
+        assert PredictedPlacement().choose(Work(), [slow, quick]).name == "quick"
+        assert LeastLoadedPlacement().choose(Work(), [slow, quick]).name == "slow"
+
+
+class TestSharedRetryBudget:
+    @settings(derandomize=True)
+    @given(
+        st.lists(st.tuples(st.floats(0, 3), st.booleans()), max_size=200),
+        st.integers(1, 8),
+    )
+    def test_all_nodes_together_stay_within_the_budget(
+        self, steps: list[tuple[float, bool]], nodes: int
+    ) -> None:
+        clock = ManualClock()
+        budgets = [
+            SharedRetryBudget(0.2, 20.0, 10.0, lambda: nodes, clock)
+            for _ in range(nodes)
+        ]
+        requests: list[float] = []
+        repeats: list[float] = []
+        for pause_s, is_request in steps:
+            clock.advance(pause_s)
+            now = clock.monotonic()
+            for budget in budgets:
+                if is_request:
+                    budget.count_request("s")
+                    requests.append(now)
+                elif budget.take("s"):
+                    repeats.append(now)
+            recent = [t for t in repeats if now - t <= 10.0]
+            # Requests count in the window or in the one before it.
+            known = [t for t in requests if now - t <= 20.0]
+            assert len(recent) <= 0.2 * len(known) + 20.0
+
+
+class TestForecast:
+    def test_a_second_attempt_is_known_by_its_shorter_deadline(self) -> None:
+        patience = CallerPatience()
+        assert patience.elapsed_s("r", 8.0) == 0.0
+        assert patience.elapsed_s("r", 7.99) == 0.0
+        assert patience.elapsed_s("r", 5.0) == 3.0
+        assert patience.elapsed_s("other", 5.0) == 0.0
+
+    def test_one_slow_request_does_not_stop_admission(self) -> None:
+        correction = ForecastCorrection()
+        correction.observe("r", 0.1, 100.0)
+        assert correction.factor("r") <= 1.2
