--- a/libs/ctl/sapphirehoist/ctl/commands.py
+++ b/libs/ctl/sapphirehoist/ctl/commands.py
@@ -23,6 +23,7 @@
 from sapphirehoist.configuration.change import name_of
 from sapphirehoist.ctl.client import CallFailed, OperatorClient
 from sapphirehoist.ctl.diff import diff_objects
+from sapphirehoist.ctl.explain import ExplainFault, explain
 from sapphirehoist.ctl.tables import format_table
 from sapphirehoist.ctl.trace import to_trace
 from sapphirehoist.ctl.views import (
@@ -185,6 +186,14 @@
         ]
         return format_table(["at", "vm", "event", "subject", "detail"], rows)
 
+    def explain(self, request_id: str, *logs: str) -> str:
+        """Show what log files say of one request, and the cause of its end."""
+        text = explain(str(request_id), [str(log) for log in logs])
+        if isinstance(text, ExplainFault):
+            _fail(text.detail, EXIT_REFUSED)
+            return ""
+        return text
+
     def _commit(self, request: ChangeRequest, base: Snapshot, wait_s: int) -> str:
         body = encode_json(request)
         result = self._call(
--- /dev/null
+++ b/libs/ctl/sapphirehoist/ctl/tests/test_explain.py
@@ -0,0 +1,63 @@
+"""What `sapphirehoistctl explain` finds in logs of several processes."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from sapphirehoist.ctl.explain import _CAUSES, ExplainFault, explain
+from sapphirehoist.gateway.refusals import Reason
+
+
+def write(path: Path, *lines: dict[str, object] | str) -> str:
+    texts = [line if isinstance(line, str) else json.dumps(line) for line in lines]
+    path.write_text("\n".join(texts))
+    return str(path)
+
+
+def line(at: str, vm: str, message: str, **facts: object) -> dict[str, object]:
+    return {"asctime": at, "vm": vm, "message": message} | facts
+
+
+def test_lines_of_all_processes_in_order(tmp_path: Path) -> None:
+    first = write(
+        tmp_path / "a.log",
+        line("2", "vm-1", "attempt failed", request_id="r-1", end="lost"),
+        "  3.1 vm-1 "
+        + json.dumps(
+            line("3", "vm-1", "request", request_id="r-1", outcome="endpoint_lost")
+        ),
+        line("3", "vm-1", "request", request_id="r-2", outcome="delivered"),
+        "not a line of ours r-1",
+    )
+    second = write(
+        tmp_path / "b.log", line("1", "vm-2", "stage call", requests=["r-0", "r-1"])
+    )
+    text = explain("r-1", [first, second])
+    assert isinstance(text, str)
+    lines = text.splitlines()
+    assert [entry.split()[1] for entry in lines[:3]] == ["vm-2", "vm-1", "vm-1"]
+    assert lines[-1].startswith("endpoint_lost")
+    assert "may have run" in lines[-1]
+
+
+def test_faults_are_named(tmp_path: Path) -> None:
+    path = write(tmp_path / "a.log", line("1", "vm-1", "request", request_id="r-1"))
+    for fault, word in (
+        (explain("r-9", [path]), "r-9"),
+        (explain("r-1", [str(tmp_path / "none")]), "none"),
+        (explain("r-1", []), "no log file"),
+    ):
+        assert isinstance(fault, ExplainFault)
+        assert word in fault.detail
+
+
+def test_a_request_without_an_end(tmp_path: Path) -> None:
+    path = write(tmp_path / "a.log", line("1", "vm-1", "stage call", requests=["r-1"]))
+    text = explain("r-1", [path])
+    assert isinstance(text, str)
+    assert "No end is logged" in text
+
+
+def test_every_refusal_has_a_sentence() -> None:
+    assert {reason.value for reason in Reason} <= set(_CAUSES)
