--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -16,10 +16,10 @@
     SharedRetryBudget,
 )
 from sapphirehoist.gateway.dialect import BadCall, Call, CallDialect
-from sapphirehoist.gateway.dispatch import (
+from sapphirehoist.gateway.dispatch import Dispatcher
+from sapphirehoist.gateway.job import (
     CutOff,
     Delivered,
-    Dispatcher,
     DispatchOutcome,
     EndpointFailure,
     Job,
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from itertools import count
-from typing import ClassVar
 
 import gevent
 from gevent.event import AsyncResult
@@ -31,19 +30,26 @@
     EndpointPhase,
     EndpointRecord,
 )
-from sapphirehoist.gateway.dialect import PieceFailed, PieceMade, PieceOrder
-from sapphirehoist.gateway.pools import EndpointPools
-from sapphirehoist.gateway.stage_queue import (
+from sapphirehoist.gateway.dialect import PieceFailed, PieceMade
+from sapphirehoist.gateway.pieces import (
     REASON_LATE,
     REASON_LOST,
     Backlog,
-    EndpointQueue,
     Piece,
-    QueueParts,
 )
+from sapphirehoist.gateway.pools import EndpointPools
+from sapphirehoist.gateway.stage_messages import (
+    CancelNews,
+    CommitNews,
+    MadeNews,
+    MakeAccepted,
+    MakeRequest,
+    ReleaseNews,
+)
+from sapphirehoist.gateway.stage_queue import EndpointQueue, QueueParts
 from sapphirehoist.http1 import EndpointConnections, Reply
 from sapphirehoist.membership import Fleet, Member
-from sapphirehoist.peers import NoReply, PeerBus, PeerMessage
+from sapphirehoist.peers import NoReply, PeerBus
 from sapphirehoist.routes import RouteTable, StagePool
 
 # An owner accepts at once; a round trip between regions takes 40 ms.
@@ -61,98 +67,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class MakeRequest(PeerMessage, frozen=True, array_like=True):
-    """Asks an endpoint's owner for pieces of one request.
-
-    Attributes
-    ----------
-    ticket : int
-        Number under which the results are sent back.
-    endpoint : str
-        Where they are to be made.
-    orders : list of PieceOrder
-        The pieces.
-    limit_s, due_s : float
-        Time until they are of no use, and until they have to be begun for their
-        request to meet its target.
-    priority, result_bytes : int
-        Rank of the request; size of each result.
-    is_committed : bool
-        Whether the request holds a good part of some endpoint's space already.
-    """
-
-    KIND: ClassVar[str] = "gateway.make"
-
-    ticket: int
-    endpoint: str
-    orders: list[PieceOrder]
-    limit_s: float
-    due_s: float
-    priority: int
-    result_bytes: int
-    is_committed: bool
-
-
-class MakeAccepted(PeerMessage, frozen=True, array_like=True):
-    """The pieces are queued.
-
-    Attributes
-    ----------
-    on_time_s, total_s : float
-        `Backlog` of the endpoint, without them.
-    """
-
-    KIND: ClassVar[str] = "gateway.make_accepted"
-
-    on_time_s: float
-    total_s: float
-
-
-class MadeNews(PeerMessage, frozen=True, array_like=True):
-    """The results, one entry for each piece in order.
-
-    Attributes
-    ----------
-    ticket : int
-        `MakeRequest.ticket`.
-    endpoint : str
-        Where they are.
-    handles : list of str
-        Handle of each result; empty where there is none.
-    reasons : list of str
-        Why there is none.
-    on_time_s, total_s : float
-        `Backlog` of the endpoint.
-    """
-
-    KIND: ClassVar[str] = "gateway.made"
-
-    ticket: int
-    endpoint: str
-    handles: list[str]
-    reasons: list[str]
-    on_time_s: float
-    total_s: float
-
-
-class ReleaseNews(PeerMessage, frozen=True, array_like=True):
-    """Results at an endpoint are no longer needed."""
-
-    KIND: ClassVar[str] = "gateway.release"
-
-    endpoint: str
-    handles: list[str]
-
-
-class CancelNews(PeerMessage, frozen=True, array_like=True):
-    """A request no longer waits for pieces of an endpoint."""
-
-    KIND: ClassVar[str] = "gateway.cancel"
-
-    endpoint: str
-    request_id: str
-
-
 @dataclass(frozen=True, slots=True)
 class _Told:
     """What an owner told of its endpoint's backlog, and when."""
@@ -161,15 +75,6 @@
     at: float
 
 
-class CommitNews(PeerMessage, frozen=True, array_like=True):
-    """A request that waits for pieces of an endpoint holds space elsewhere by now."""
-
-    KIND: ClassVar[str] = "gateway.commit"
-
-    endpoint: str
-    request_id: str
-
-
 class StagePools:
     """Has pieces made, by this node's queues or by other owners.
 
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -4,11 +4,11 @@
 
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import count
 
 import gevent
-from gevent.event import AsyncResult, Event
+from gevent.event import Event
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import BatchPolicy, QueuedPiece, SharedRetryBudget
@@ -18,9 +18,16 @@
     CallDialect,
     PieceFailed,
     PieceMade,
-    PieceOrder,
     StageResults,
 )
+from sapphirehoist.gateway.pieces import (
+    REASON_LATE,
+    REASON_LOST,
+    REASON_ROOM,
+    Backlog,
+    Piece,
+    ResultSpace,
+)
 from sapphirehoist.gateway.pools import EndpointPools
 from sapphirehoist.http1 import Broken, EndpointConnections, Lost, NotSent, Reply
 from sapphirehoist.observability import Metrics
@@ -37,67 +44,10 @@
 # Sizes of results are approximate. Too little space set aside costs a short call that
 # finds none; too much leaves the endpoint idle.
 _SIZE_MARGIN = 0.9
-REASON_LOST = "lost"
-REASON_LATE = "late"
-REASON_ROOM = "room"
 
 _logger = logging.getLogger(__name__)
 
 
-@dataclass(slots=True, eq=False)
-class Piece:
-    """A piece that a request waits for.
-
-    Attributes
-    ----------
-    order : PieceOrder
-        What is asked for.
-    limit_at, due_at : float
-        Monotonic times: after the first it is of no use; by the second it has to be
-        begun for its request to meet its target.
-    priority : int
-        Rank of its request.
-    result_bytes : int
-        Approximate size of its result.
-    is_committed : bool
-        Whether its request holds a good part of some endpoint's space already.
-    group : int
-        Pieces of one request at one endpoint.
-    is_reserved : bool
-        Whether space is set aside for its result.
-    result : AsyncResult
-        Gets `PieceMade` or `PieceFailed`.
-    """
-
-    order: PieceOrder
-    limit_at: float
-    due_at: float
-    priority: int
-    result_bytes: int
-    is_committed: bool = False
-    group: int = 0
-    is_reserved: bool = False
-    result: AsyncResult = field(default_factory=AsyncResult)
-    sends: int = 0
-    is_cancelled: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Backlog:
-    """Time until an endpoint would begin with a new piece.
-
-    Attributes
-    ----------
-    on_time_s : float
-        For a piece whose request can meet its target.
-    total_s : float
-        For one whose request cannot.
-    """
-
-    on_time_s: float
-    total_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class QueueParts:
     """What every queue of a node shares."""
@@ -111,47 +61,6 @@
     metrics: Metrics
 
 
-class ResultSpace:
-    """Space that results take up at one endpoint, as far as this node knows.
-
-    Parameters
-    ----------
-    clock : Clock
-        Lets results lapse.
-
-    Examples
-    --------
-    >>> from sapphirehoist.clock import ManualClock
-    >>> space = ResultSpace(ManualClock())
-    >>> space.take("h", 100, 4.0)
-    >>> space.used()
-    100
-    >>> space.release("h")
-    >>> space.used()
-    0
-    """
-
-    __slots__ = ("_clock", "_held")
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._held: dict[str, tuple[int, float]] = {}
-
-    def take(self, handle: str, size: int, keep_s: float) -> None:
-        """Count a result until it is released or lapses."""
-        self._held[handle] = (size, self._clock.monotonic() + keep_s)
-
-    def release(self, handle: str) -> None:
-        """Count a result as given up."""
-        self._held.pop(handle, None)
-
-    def used(self) -> int:
-        """Return the bytes that are taken up."""
-        now = self._clock.monotonic()
-        self._held = {h: held for h, held in self._held.items() if held[1] > now}
-        return sum(size for size, _ in self._held.values())
-
-
 class EndpointQueue:
     """Makes pieces at one endpoint.
 
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -11,14 +11,15 @@
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import ForecastCorrection
 from sapphirehoist.gateway.dialect import Call, PieceFailed, PieceMade, PieceOrder
-from sapphirehoist.gateway.dispatch import StageInputs
-from sapphirehoist.gateway.stage_pools import StagePools
-from sapphirehoist.gateway.stage_queue import (
+from sapphirehoist.gateway.job import StageInputs
+from sapphirehoist.gateway.pieces import (
+    REASON_GONE,
     REASON_LATE,
     REASON_LOST,
     Backlog,
     Piece,
 )
+from sapphirehoist.gateway.stage_pools import StagePools
 from sapphirehoist.routes import Route
 
 # From the last result to the first token of a prompt that the engine partly holds.
@@ -452,7 +453,7 @@
         if self._remakes >= _REMAKES + self._counts[ended.stage]:
             return detail
         self._remakes += 1
-        if failed.reason == "gone":
+        if failed.reason == REASON_GONE:
             self.release()
             self._is_released = False
             self._start_at.clear()
