Send nothing more to a stage's endpoint that drains; bound reads of large tables

Change: a queue whose endpoint leaves takes and repeats nothing; whole reads of a table cost at most 500 B/s, and nodes share the reads of their own rows; a planned stop keeps 1 s instead of 0.6 s for leaving; what is known of a gone endpoint is forgotten.

--- a/libs/decisions/sapphirehoist/decisions/load.py
+++ b/libs/decisions/sapphirehoist/decisions/load.py
@@ -84,6 +84,12 @@
         """Forget endpoints that are no longer configured."""
         self._loads = {n: load for n, load in self._loads.items() if n in endpoints}
 
+    def forget(self, endpoint: str) -> None:
+        """Forget an endpoint that is gone, unless calls to it are under way."""
+        load = self._loads.get(endpoint)
+        if load is not None and load.in_flight == 0:
+            del self._loads[endpoint]
+
     def estimated_load(self, endpoint: str) -> float:
         """Return the calls that `endpoint` runs or queues, from all nodes."""
         load = self.get(endpoint)
--- a/libs/discovery/sapphirehoist/discovery/follower.py
+++ b/libs/discovery/sapphirehoist/discovery/follower.py
@@ -19,8 +19,10 @@
 # Right after an outage, or after a pause of this node, entries may have lapsed.
 _OUTAGE_S = 1.5
 _AFTER_OUTAGE_S = 3.0
-# A whole read now and then finds what a feed has left out.
+# A whole read now and then finds what a feed has left out; for a large table it comes
+# so seldom that it costs no more than this.
 _WHOLE_READ_EVERY_S = 20.0
+_WHOLE_READ_BYTES_PER_S = 500.0
 
 _logger = logging.getLogger(__name__)
 
@@ -112,6 +114,7 @@
         "_retry_s",
         "_revision",
         "_source",
+        "_whole_bytes",
         "seen_at",
     )
 
@@ -134,7 +137,8 @@
         self._outage_ended = -_AFTER_OUTAGE_S
         self._retry_s = _RETRY_FIRST_S
         self._read_whole_at = 0.0
-        self.seen_at = 0.0
+        self._whole_bytes = 0
+        self.seen_at: float | None = None
 
     def run(self) -> None:
         """Follow until killed."""
@@ -160,19 +164,24 @@
         self._revision = outcome.revision
         if is_whole:
             self._read_whole_at = self._clock.monotonic()
+            self._whole_bytes = sum(
+                len(row.key) + len(row.value or b"") for row in outcome.rows
+            )
             self._listener.take_all(outcome, self._is_after_outage())
         elif outcome.rows:
             self._listener.take_changes(outcome, self._is_after_outage())
         return _BETWEEN_READS_S
 
     def _is_whole_read_due(self) -> bool:
-        return self._clock.monotonic() - self._read_whole_at > _WHOLE_READ_EVERY_S
+        age_s = self._clock.monotonic() - self._read_whole_at
+        size_s = self._whole_bytes / _WHOLE_READ_BYTES_PER_S
+        return age_s > max(_WHOLE_READ_EVERY_S, size_s)
 
     def _lose(self, detail: str) -> float:
         now = self._clock.monotonic()
         if not self._is_lost:
             self._is_lost = True
-            self._lost_at = self.seen_at or now
+            self._lost_at = now if self.seen_at is None else self.seen_at
             self._retry_s = _RETRY_FIRST_S
             self._metrics.count("store_lost_total", table=self._name)
             _logger.warning(
@@ -194,7 +203,7 @@
 
     def _regain(self) -> None:
         now = self._clock.monotonic()
-        gap_s = now - self.seen_at if self.seen_at else 0.0
+        gap_s = 0.0 if self.seen_at is None else now - self.seen_at
         if self._is_lost or gap_s > FEED_WAIT_S + _OUTAGE_S:
             if gap_s > _OUTAGE_S:
                 self._outage_ended = now
--- a/libs/gateway/sapphirehoist/gateway/meeting.py
+++ b/libs/gateway/sapphirehoist/gateway/meeting.py
@@ -13,7 +13,9 @@
 # All nodes start at about the same time, and see each other within the first reads.
 _FIRST_READS_S = 1.0
 _FIRST_READS = 4
+# Later the nodes of a large fleet share the reads; joiners announce themselves.
 _LATER_READS_S = 8.0
+_LATER_READS_PER_NODE_S = 2.0
 # A row of a node that has been dead for so many reads is removed.
 _DEAD_READS = 3
 
@@ -48,7 +50,9 @@
         while True:
             self.step()
             is_early = self._reads < _FIRST_READS or not self._is_written
-            self._clock.sleep(_FIRST_READS_S if is_early else _LATER_READS_S)
+            nodes = len(self._fleet.present())
+            later_s = max(_LATER_READS_S, _LATER_READS_PER_NODE_S * nodes)
+            self._clock.sleep(_FIRST_READS_S if is_early else later_s)
 
     def step(self) -> None:
         """Write this node's row if that is not known to be done, and read all rows."""
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -53,8 +53,8 @@
 _HOUSEKEEPING_S = 0.5
 # Callers keep an answer for up to three times its time to live.
 _KEPT_ANSWERS = 3.0
-# Time to write the last answers and to leave the fleet.
-_LEAVE_MARGIN_S = 0.6
+# Time to write the last answers and to leave the fleet before the process is killed.
+_LEAVE_MARGIN_S = 1.0
 _IDLE_POLL_S = 0.05
 # A task that fails at once again must not keep the processor busy.
 _RESTART_PAUSE_S = 0.3
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -275,8 +275,12 @@
     def _queue(self, record: EndpointRecord) -> EndpointQueue:
         queue = self._queues.get(record.name)
         if queue is None or queue.record.born_ms != record.born_ms:
+            if queue is not None:
+                queue.close()
             service = record.service
             queue = EndpointQueue(record, lambda: self.spec(service), self._parts)
+            if record.phase is not EndpointPhase.IN_SERVICE:
+                queue.leave()
             self._queues[record.name] = queue
         return queue
 
@@ -468,10 +472,13 @@
 
     def _on_departure(self, departure: Departure, record: EndpointRecord) -> None:
         """Let waiting pieces go elsewhere when their endpoint leaves."""
+        if departure.phase is EndpointPhase.GONE:
+            self._told.pop(record.name, None)
+            self._pools.loads.forget(record.name)
         queue = self._queues.get(record.name)
         if queue is None:
             return
-        queue.fail_all(REASON_LOST)
+        queue.leave()
         if departure.phase is EndpointPhase.GONE:
             del self._queues[record.name]
             queue.close()
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -62,7 +62,7 @@
 
 
 class EndpointQueue:
-    """Makes pieces at one endpoint.
+    """Makes pieces at one endpoint, as long as it is in service.
 
     Pieces gather while a call is under way, so calls fill by themselves as load grows.
 
@@ -85,6 +85,7 @@
         "_pieces",
         "_spec",
         "_task",
+        "is_leaving",
         "record",
         "space",
     )
@@ -104,10 +105,15 @@
         self._has_pieces = Event()
         self._call_ends_at = 0.0
         self._no_room_until = 0.0
+        self.is_leaving = False
         self._task = gevent.spawn(self._run)
 
     def submit(self, pieces: Sequence[Piece]) -> None:
         """Queue pieces; their results are set when a call brought them."""
+        if self.is_leaving:
+            for piece in pieces:
+                piece.result.set(PieceFailed(REASON_LOST))
+            return
         group = next(self._numbers)
         for piece in pieces:
             piece.group = group
@@ -150,9 +156,14 @@
         for piece in pieces:
             piece.result.set(PieceFailed(reason))
 
-    def close(self) -> None:
-        """Stop once the call under way has ended."""
+    def leave(self) -> None:
+        """Send nothing more: the endpoint is draining."""
+        self.is_leaving = True
         self.fail_all(REASON_LOST)
+
+    def close(self) -> None:
+        """Stop once the call under way has ended: the endpoint is gone."""
+        self.leave()
         if not self._call_ends_at:
             self._task.kill(block=False)
 
@@ -302,7 +313,8 @@
                 piece.result.set(result)
                 continue
             self._log_piece(piece, result)
-            if result.reason == REASON_ROOM and not piece.is_cancelled:
+            is_wanted = not piece.is_cancelled and not self.is_leaving
+            if result.reason == REASON_ROOM and is_wanted:
                 # Larger results than expected, or those of an earlier owner, fill it.
                 self._no_room_until = self._parts.clock.monotonic() + _REST_S
                 piece.is_reserved = False
@@ -359,7 +371,9 @@
                 "ejected": parts.pools.loads.is_ejected(record.name),
             },
         )
-        may_repeat = is_refused and parts.budget.take(record.service)
+        may_repeat = (
+            is_refused and not self.is_leaving and parts.budget.take(record.service)
+        )
         for piece in pieces:
             if may_repeat and piece.sends < _MAX_SENDS and not piece.is_cancelled:
                 self._pieces[next(self._numbers)] = piece
