--- a/libs/discovery/sapphirehoist/discovery/tests/test_follower.py
+++ b/libs/discovery/sapphirehoist/discovery/tests/test_follower.py
@@ -103,11 +103,21 @@
         following.step()
         assert following.listener.taken[-1] == ("whole", True)
         following.source.changes = NOTHING
-        following.clock.advance(4.0)
+        for _ in range(12):
+            following.step()
         following.source.changes = ROWS
         following.step()
         assert following.listener.taken[-1] == ("changes", False)
 
+    def test_a_pause_of_this_node_counts_as_an_outage(
+        self, following: Following
+    ) -> None:
+        following.step()
+        following.clock.advance(4.0)
+        following.source.changes = ROWS
+        following.step()
+        assert following.listener.taken[-1] == ("changes", True)
+
     def test_one_failed_read_is_no_outage(self, following: Following) -> None:
         following.step()
         following.source.changes = ReadFailed("refused")
