--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -16,8 +16,8 @@
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
-from sapphirehoist.http1.sockets import watch_peer
 from sapphirehoist.observability import Metrics
+from sapphirehoist.sockets import watch_peer
 
 # A round trip between regions takes 40 ms; a lost opening packet goes again after 1 s.
 _CONNECT_TIMEOUT_S = 1.2
--- a/libs/http1/sapphirehoist/http1/server.py
+++ b/libs/http1/sapphirehoist/http1/server.py
@@ -16,8 +16,8 @@
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
-from sapphirehoist.http1.sockets import reset_on_close, watch_peer
 from sapphirehoist.observability import Metrics
+from sapphirehoist.sockets import reset_on_close, watch_peer
 
 _logger = logging.getLogger(__name__)
 
--- a/libs/http1/sapphirehoist/http1/tests/test_client.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_client.py
@@ -22,8 +22,8 @@
     RequestHead,
 )
 from sapphirehoist.http1.messages import ResponseHead
-from sapphirehoist.http1.sockets import reset_on_close
 from sapphirehoist.observability import Metrics
+from sapphirehoist.sockets import reset_on_close
 
 OWN = b"HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 3\r\n\r\nown"
 STRAY = b"HTTP/1.1 200 OK\r\nX-Id: stray\r\nContent-Length: 5\r\n\r\nstray"
