--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LIBS := $(wildcard libs/*) platform
 CASE ?= all
 
-.PHONY: setup demo test lint format bench slopes
+.PHONY: setup demo demo-platform test lint format bench slopes
 
 setup: $(VENV)/.done
 
@@ -17,6 +17,9 @@
 demo: setup
 	$(BIN)/python tools/demo.py
 
+demo-platform: setup
+	$(BIN)/python tools/demo_platform.py
+
 test: setup lint
 	$(BIN)/python -m pytest
 
--- /dev/null
+++ b/libs/observability/sapphirehoist/observability/tests/test_bounded.py
@@ -0,0 +1,67 @@
+"""Log lines never block their writer, whatever becomes of their reader."""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Iterator
+
+import gevent
+import pytest
+from gevent import os as gevent_os
+
+from sapphirehoist.observability import BoundedLogHandler
+from sapphirehoist.testing import wait_until
+
+LINES = 20_000
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    reader, writer = os.pipe()
+    gevent_os.make_nonblocking(reader)
+    yield reader, writer
+    for descriptor in (reader, writer):
+        try:
+            os.close(descriptor)
+        except OSError:
+            continue  # the test has closed it
+
+
+def emit(handler: BoundedLogHandler, count: int) -> None:
+    for number in range(count):
+        record = logging.LogRecord("n", 20, "p", 1, f"line {number}", (), None)
+        handler.emit(record)
+
+
+def read_all(reader: int) -> bytes:
+    data = b""
+    while True:
+        with gevent.Timeout(0.3, False):
+            data += gevent_os.nb_read(reader, 65_536)
+            continue
+        return data
+
+
+def test_a_reader_that_stops_reading(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    handler = BoundedLogHandler(writer)
+    emit(handler, 1_000)
+    gevent.sleep(0.05)
+    emit(handler, LINES)
+    assert handler.dropped_total > 0
+    lines = read_all(reader).splitlines()
+    assert lines[0] == b"line 0"
+    dropped = handler.dropped_total
+    assert b'"count": %d' % dropped in lines[-1]
+    assert len(lines) - 1 + dropped == 1_000 + LINES
+
+
+def test_a_reader_that_is_gone(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    handler = BoundedLogHandler(writer)
+    os.close(reader)
+    emit(handler, 100)
+    wait_until(lambda: handler.dropped_total == 100, "the first lines")
+    emit(handler, 100)
+    wait_until(lambda: handler.dropped_total == 200, "the second lines")
--- /dev/null
+++ b/tools/demo_platform.py
@@ -0,0 +1,78 @@
+"""Serves a few requests over the users' platform's protocol, before stand-ins of ours.
+
+Two nodes, a store, a stage of two pools, two model engines and a plain service run in
+this process; a configuration changes and an engine drains while requests go on.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+from itertools import count  # noqa: E402
+
+import gevent  # noqa: E402
+import urllib3  # noqa: E402
+
+from sapphirehoist.adapter.tests.standins import (  # noqa: E402
+    STAGES,
+    FleetStandIn,
+    config,
+    make_pieces,
+    respond,
+    route,
+    stream,
+)
+
+_READY_S = 2.0
+_READ = route("read", "idempotent", "plain")
+_PLAN = route("plan", "streaming", "model", streamResume=True, stages=STAGES)
+
+_ids = count(1)
+_pool = urllib3.PoolManager(retries=False, timeout=5.0)
+
+
+def main() -> None:
+    """Run the demonstration."""
+    fleet = FleetStandIn()
+    fleet.store.put("op", "config", config(1, _READ, _PLAN))
+    fleet.endpoint("encode-1", "encode", make_pieces)
+    fleet.endpoint("rank-1", "rank", make_pieces)
+    engine = fleet.endpoint("engine-1", "model", stream(3))
+    fleet.endpoint("engine-2", "model", stream(3))
+    fleet.endpoint("plain-1", "plain", respond)
+    for _ in range(2):
+        fleet.node()
+    gevent.sleep(_READY_S)
+    print(f"addresses: {fleet.nodes[0].addresses.near('region-a', 'zone-a')}")
+    _show(fleet, "/read/x")
+    _show(fleet, "/plan/x")
+    print("engine-1 drains; version 2 drops a route")
+    engine.write(state="draining")
+    fleet.store.put("op", "config", config(2, _PLAN))
+    gevent.sleep(_READY_S)
+    _show(fleet, "/read/x")
+    _show(fleet, "/plan/x")
+    fleet.stop()
+
+
+def _show(fleet: FleetStandIn, path: str) -> None:
+    for node in fleet.nodes:
+        headers = {
+            "Host": "h.example",
+            "X-Request-Id": f"demo-{next(_ids)}",
+            "X-Deadline-Ms": "4000",
+            "Authorization": "Bearer key-a",
+            "X-Pieces": "2,1",
+            "X-Piece-Key": "k",
+        }
+        url = f"http://{node.settings.caller_address}{path}"
+        answer = _pool.request("POST", url, headers=headers)
+        seal = answer.headers.get("X-Server-Seal", "none")
+        print(f"{node.settings.vm} {path}: {answer.status}, seal {seal}, ", end="")
+        print(f"{len(answer.data)} bytes")
+
+
+if __name__ == "__main__":
+    main()
