--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -58,3 +58,53 @@
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
     assert done.returncode == 0, done.stderr
+
+
+PLATFORM = LIBS.parent / "platform" / "sapphirehoist" / "adapter"
+GATEWAY_LIBS = ("gateway", "http1", "routes", "discovery", "decisions", "sockets")
+
+
+def sources(root: Path) -> list[Path]:
+    return [path for path in root.rglob("*.py") if "tests" not in path.parts]
+
+
+def wire_names() -> set[str]:
+    """Return the headers, paths and fields that the adapter spells out."""
+    names = set()
+    for path in sources(PLATFORM):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Constant) and isinstance(node.value, str):
+                text = node.value
+                is_header = text.startswith(("X-", "Kv-"))
+                is_path = text.startswith("/") and text.count("/") == 1 and text[1:]
+                if (
+                    is_header
+                    or is_path
+                    or text in ("in_service", "handleId", "hasMore")
+                ):
+                    names.add(text)
+    return names
+
+
+def test_only_the_adapter_knows_the_platforms_names() -> None:
+    names = wire_names() - {"in_service", "/metrics"}
+    assert {"X-Server-Seal", "/stage-run", "handleId"} <= names
+    for lib in GATEWAY_LIBS:
+        for path in sources(LIBS / lib):
+            code = [
+                node.value
+                for node in ast.walk(ast.parse(path.read_text()))
+                if isinstance(node, ast.Constant) and isinstance(node.value, str)
+            ]
+            assert not names & set(code), path
+
+
+def test_the_adapter_decides_nothing() -> None:
+    for path in sources(PLATFORM):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.ImportFrom) or not node.module:
+                continue
+            imported_names = {alias.name for alias in node.names}
+            if node.module.startswith("sapphirehoist.decisions"):
+                assert imported_names <= {"PromptPart"}, path
+            assert not node.module.startswith("sapphirehoist.gateway."), path
