Answer a request that a fault of ours ends; split two long functions

Cause: an unexpected exception closed the caller's connection without an answer. Change: 502, which promises nothing, or a visible cut; the fault is logged with the request's id. Splitting Dispatcher._attempt and GatewayNode._build_requests changes nothing.

--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -238,26 +238,16 @@
         trace: RequestTrace,
     ) -> _Ended:
         relay = progress.relay
-        now = self._clock.monotonic()
-        assignment = Assignment(
-            record,
-            min(job.deadline_at, job.limit_at) - now,
-            job.team,
-            _urgency(job),
-            inputs.handles if inputs is not None else None,
-            relay.last_event,
-        )
-        head = self._dialect.endpoint_head(job.request.head, assignment)
-        outbound = OutboundRequest(head, job.request.body)
+        outbound = self._outbound(job, inputs, record, relay.last_event)
         generation = job.call.generation
-        tokens = (
-            generation.prompt_tokens + generation.output_tokens if generation else 0
-        )
+        tokens = 0
+        if generation is not None:
+            tokens = generation.prompt_tokens + generation.output_tokens
         self._pools.loads.begin(record.name)
         self._pools.hold(record.name, tokens)
         progress.unread_tokens = self._begin_reading(job, inputs, record.name)
         reply: Reply | NotSent | Lost | None = None
-        patience_s = self._patience_s(job, progress, now)
+        patience_s = self._patience_s(job, progress)
         timeout = gevent.Timeout(patience_s)
         timeout.start()
         try:
@@ -297,9 +287,29 @@
             return signs.request_id == call.request_id
         return signs.is_not_run
 
-    def _patience_s(self, job: Job, progress: Progress, now: float) -> float | None:
+    def _outbound(
+        self,
+        job: Job,
+        inputs: StageInputs | None,
+        record: EndpointRecord,
+        last_event: str,
+    ) -> OutboundRequest:
+        """Return the request for one endpoint."""
+        left_s = min(job.deadline_at, job.limit_at) - self._clock.monotonic()
+        assignment = Assignment(
+            record,
+            left_s,
+            job.team,
+            _urgency(job),
+            inputs.handles if inputs is not None else None,
+            last_event,
+        )
+        head = self._dialect.endpoint_head(job.request.head, assignment)
+        return OutboundRequest(head, job.request.body)
+
+    def _patience_s(self, job: Job, progress: Progress) -> float | None:
         """Return how long an attempt may take until its first bytes."""
-        left_s = job.limit_at - now
+        left_s = job.limit_at - self._clock.monotonic()
         if not job.route.is_repeatable or progress.sends + 1 >= job.route.max_attempts:
             return None
         if job.route.kind is CallKind.STREAMING:
@@ -325,7 +335,8 @@
             end = End.NOT_RUN
             if reply.head.status == _STATUS_CONFLICT:
                 end = End.INPUTS_GONE
-            self._drain(reply)
+            # A short refusal is read to its end, so that its connection is kept.
+            reply.read_all()
             return _Ended(end, f"{record.address}: status {reply.head.status}")
         is_good = reply.head.status in _STATUS_OK
         if is_good and (not signs.is_sealed or signs.is_encoded):
@@ -346,10 +357,6 @@
         detail = "" if is_good else f"{record.address}: status {reply.head.status}"
         return _Ended(end, detail, caller_head, body)
 
-    def _drain(self, reply: Reply) -> None:
-        """Read a short refusal to its end, so that its connection can be reused."""
-        reply.read_all()
-
     def _relay(
         self,
         job: Job,
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -140,6 +140,12 @@
             trace.log_end("caller_unreachable", 0, str(exc))
             self._metrics.count("requests_total", outcome="caller_unreachable")
             raise
+        except Exception:
+            # A fault of this one request must not leave its caller without an end.
+            _logger.exception("request failed", extra={"request_id": trace.request_id})
+            refusal = Refusal(Reason.INTERNAL, "a fault of this node")
+            is_begun = exchange.is_begun
+            self._finish(CutOff("fault") if is_begun else refusal, exchange, trace)
         finally:
             self.under_way -= 1
 
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -248,10 +248,11 @@
 
     def _build_requests(self) -> None:
         settings, parts = self.settings, self._parts
-        clock = parts.clock
-        loads = LoadBook(clock)
-        pools = EndpointPools(settings.zone, settings.regions, self.directory, loads)
-        self._connections = EndpointConnections(clock, self.metrics)
+        clock, metrics = parts.clock, self.metrics
+        pools = EndpointPools(
+            settings.zone, settings.regions, self.directory, LoadBook(clock)
+        )
+        self._connections = EndpointConnections(clock, metrics)
         budget = SharedRetryBudget(
             settings.repeat_ratio,
             settings.repeat_allowance,
@@ -259,29 +260,53 @@
             lambda: len(self.fleet.present()) + len(self.fleet.dead()),
             clock,
         )
-        parts_of_queues = QueueParts(
+        self._stages = self._build_stages(pools, budget)
+        self.handler = RequestHandler(
+            self._table,
+            parts.dialect,
+            self._build_dispatcher(pools, budget),
+            self._stages,
+            budget,
+            lambda: self._is_refusing,
+            clock,
+            parts.random,
+            metrics,
+        )
+        self._server = CallerServer(
+            settings.caller_address, self.handler, self._limits, clock, metrics
+        )
+
+    def _build_stages(
+        self, pools: EndpointPools, budget: SharedRetryBudget
+    ) -> StagePools:
+        shared = QueueParts(
             pools,
             UrgentFirst(),
             self._connections,
-            parts.dialect,
+            self._parts.dialect,
             budget,
-            clock,
+            self._parts.clock,
             self.metrics,
         )
-        self._stages = StagePools(
+        return StagePools(
             self.fleet,
             self._bus,
             self.directory,
             SoonestStageEndpoint(),
-            parts_of_queues,
+            shared,
             self._table,
         )
+
+    def _build_dispatcher(
+        self, pools: EndpointPools, budget: SharedRetryBudget
+    ) -> Dispatcher:
+        clock = self._parts.clock
         placement = GenerationPlacement(clock)
         self._prompts = PromptSharing(self.fleet, self._bus, placement, clock)
-        dispatcher = Dispatcher(
+        return Dispatcher(
             pools,
             self._connections,
-            parts.dialect,
+            self._parts.dialect,
             budget,
             PredictedPlacement(),
             placement,
@@ -289,20 +314,6 @@
             clock,
             self.metrics,
         )
-        self.handler = RequestHandler(
-            self._table,
-            parts.dialect,
-            dispatcher,
-            self._stages,
-            budget,
-            lambda: self._is_refusing,
-            clock,
-            parts.random,
-            self.metrics,
-        )
-        self._server = CallerServer(
-            settings.caller_address, self.handler, self._limits, clock, self.metrics
-        )
 
     def _table(self) -> RouteTable | None:
         return self.holder.table
