Give tests listeners' ports that outgoing connections never use

`free_port` returned a port of the kernel's range for outgoing connections; by the time the daemon bound it, another process's connection had it. 75 starts of a fleet, six side by side, showed the same failure once; the third daemon's log ends with "Address already in use (addr='tcp://127.0.0.1:48315')". Ruled out: membership (both other daemons saw each other and served).

Change: ports come from blocks below that range; a process claims a block by holding its first port, and hands each port out once. The message of a fleet that does not start names the daemons that have ended, with their logs' ends.

The tests of the ports fail on the former function.

--- a/libs/testing/sapphirehoist/testing/__init__.py
+++ b/libs/testing/sapphirehoist/testing/__init__.py
@@ -7,7 +7,8 @@
 from sapphirehoist.testing.deployment import Daemon, Deployment, EndpointSpec
 from sapphirehoist.testing.fakes import FakeEndpointClient, FakeVmList, FaultyTable
 from sapphirehoist.testing.in_process import InProcessFleet
-from sapphirehoist.testing.processes import ManagedProcess, free_port
+from sapphirehoist.testing.ports import free_port
+from sapphirehoist.testing.processes import ManagedProcess
 from sapphirehoist.testing.relay import Relay
 from sapphirehoist.testing.wait import wait_until
 
--- a/libs/testing/sapphirehoist/testing/deployment.py
+++ b/libs/testing/sapphirehoist/testing/deployment.py
@@ -17,11 +17,14 @@
 
 from sapphirehoist.configuration import ConfigObject, Endpoint, EndpointKind
 from sapphirehoist.testing.control import post_control
-from sapphirehoist.testing.processes import ManagedProcess, free_port
+from sapphirehoist.testing.ports import free_port
+from sapphirehoist.testing.processes import ManagedProcess
 from sapphirehoist.testing.wait import wait_until
 
 OPERATOR_TOKEN = "operator-token-of-the-tests"
 RESUME_SECRET = "resume-secret-of-the-tests-0123456789"
+# Characters of a daemon's log that a failed test shows.
+_LOG_TAIL = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +171,7 @@
                 wait_until(
                     lambda d=daemon: self._is_serving(d, wanted),  # type: ignore[misc]
                     f"{daemon.vm} serves with {wanted} members",
+                    describe=self._ended_daemons,
                 )
 
     def apply(
@@ -268,6 +272,14 @@
             "entries_ttl_s": 1.0,
         }
 
+    def _ended_daemons(self) -> str:
+        """Return the last lines of every daemon that has ended."""
+        ended = [d for d in self.daemons.values() if not d.process.is_running()]
+        return "\n".join(
+            f"{daemon.vm} has ended: {daemon.process.log.read_text()[-_LOG_TAIL:]}"
+            for daemon in ended
+        )
+
     def _is_serving(self, daemon: Daemon, count: int) -> bool:
         try:
             status = self.operate(daemon, "GET", "/v1/status")
--- a/libs/testing/sapphirehoist/testing/processes.py
+++ b/libs/testing/sapphirehoist/testing/processes.py
@@ -4,20 +4,12 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 
-def free_port() -> int:
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class ManagedProcess:
     """A Python module run as a process.
 
--- /dev/null
+++ b/libs/testing/sapphirehoist/testing/tests/test_ports.py
@@ -0,0 +1,60 @@
+"""Ports for listeners: not those of outgoing connections, and nobody else's."""
+
+from __future__ import annotations
+
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from sapphirehoist.testing import free_port
+from sapphirehoist.testing.ports import PortBlocks
+
+_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+
+def test_outgoing_connections_never_use_them() -> None:
+    start, end = map(int, _RANGE.read_text().split())
+    assert not any(start <= free_port() <= end for _ in range(20))
+
+
+def test_a_port_is_handed_out_once() -> None:
+    ports = [free_port() for _ in range(300)]
+    assert len(set(ports)) == len(ports)
+
+
+def test_processes_get_blocks_of_their_own() -> None:
+    program = (
+        "from sapphirehoist.testing import free_port\n"
+        "print(*[free_port() for _ in range(300)], flush=True)\n"
+        "input()\n"
+    )
+    processes = [
+        subprocess.Popen(
+            [sys.executable, "-c", program],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for _ in range(3)
+    ]
+    taken = [int(port) for p in processes for port in p.stdout.readline().split()]
+    for process in processes:
+        process.communicate("\n")
+    assert len(taken) == 900
+    assert len(set(taken)) == len(taken)
+
+
+def test_a_taken_port_is_passed_over() -> None:
+    blocks = PortBlocks()
+    port = blocks.take()
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", port + 1))
+        assert blocks.take() > port + 1
+
+
+def test_no_block_left_is_said() -> None:
+    with pytest.raises(RuntimeError, match="no free block of ports below 10255"):
+        PortBlocks(10_000, 10_255).take()
--- a/libs/testing/sapphirehoist/testing/wait.py
+++ b/libs/testing/sapphirehoist/testing/wait.py
@@ -11,13 +11,21 @@
 _POLL_S = 0.02
 
 
-def wait_until(condition: Callable[[], T], what: str, timeout_s: float = 20.0) -> T:
-    """Return the first true value of `condition`; fail the test after `timeout_s`."""
+def wait_until(
+    condition: Callable[[], T],
+    what: str,
+    timeout_s: float = 20.0,
+    describe: Callable[[], str] = str,
+) -> T:
+    """Return the first true value of `condition`; fail the test after `timeout_s`.
+
+    The failure's message ends with what `describe` returns.
+    """
     deadline = time.monotonic() + timeout_s
     while True:
         value = condition()
         if value:
             return value
         if time.monotonic() >= deadline:
-            raise AssertionError(f"{what}: not within {timeout_s} s")
+            raise AssertionError(f"{what}: not within {timeout_s} s {describe()}")
         time.sleep(_POLL_S)
