Run the suites of tests side by side with make

Cause: `make test` took 261 s, one test after another, of which 200 s are tests over processes that mostly wait. pytest-xdist was tried again with gevent's execution model: it forces its own model on the workers and the run ends before the first test (ValueError: duplicate key: 'execmodel').

Change: make runs pytest once for the libraries, once for the adapter and once for each file of tests over processes, six at a time, and goes on past a failed one. No test shares state with another file's; listeners' ports come from blocks of each process's own.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,11 @@
 BIN := $(VENV)/bin
 LIBS := $(wildcard libs/*) platform
 CASE ?= all
+# Each test over processes starts up to ten of them.
+JOBS ?= 6
+SUITES := $(addprefix suite/,libs platform $(sort $(wildcard tests/test_*.py)))
 
-.PHONY: setup demo demo-platform test lint format bench slopes
+.PHONY: setup demo demo-platform test lint format bench slopes $(SUITES)
 
 setup: $(VENV)/.done
 
@@ -21,7 +24,10 @@
 	$(BIN)/python -m sapphirehoist.adapter.tests.demo
 
 test: setup lint
-	$(BIN)/python -m pytest
+	@$(MAKE) --no-print-directory --keep-going --jobs=$(JOBS) --output-sync=target $(SUITES)
+
+$(SUITES): suite/%: setup
+	$(BIN)/python -m pytest $*
 
 lint: setup
 	$(BIN)/ruff format --check .
