Take over changed bounds of the settings file while running

Cause: a settings file that changed, with or without SIGHUP, was read and logged, but the node went on with the old bounds until its next start, so an operator's smaller retry budget or shorter time to stop had no effect.

Change: the node takes over the time to live of answers, the time to stop and the retry budget, keeping what was counted; it names the settings that need a restart.

--- a/libs/decisions/sapphirehoist/decisions/retry_budget.py
+++ b/libs/decisions/sapphirehoist/decisions/retry_budget.py
@@ -18,17 +18,17 @@
 class _Window:
     """Counts events of the last `length_s` seconds."""
 
-    __slots__ = ("_length_s", "_times")
+    __slots__ = ("_times", "length_s")
 
     def __init__(self, length_s: float) -> None:
-        self._length_s = length_s
+        self.length_s = length_s
         self._times: deque[float] = deque()
 
     def add(self, now: float) -> None:
         self._times.append(now)
 
     def count(self, now: float) -> int:
-        while self._times and now - self._times[0] > self._length_s:
+        while self._times and now - self._times[0] > self.length_s:
             self._times.popleft()
         return len(self._times)
 
@@ -83,6 +83,14 @@
         self._requests: dict[str, _Window] = {}
         self._repeats: dict[str, _Window] = {}
 
+    def change(self, ratio: float, allowance: float, window_s: float) -> None:
+        """Take over other bounds; what was counted stays counted."""
+        self._ratio = ratio
+        self._allowance = allowance
+        self._length_s = window_s
+        for window in (*self._requests.values(), *self._repeats.values()):
+            window.length_s = window_s
+
     def count_request(self, service: str) -> None:
         """Count a request that a caller sent for `service`."""
         window = self._requests.setdefault(service, _Window(self._length_s))
--- a/libs/decisions/sapphirehoist/decisions/tests/test_stage_decisions.py
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_stage_decisions.py
@@ -190,6 +190,16 @@
             known = [t for t in requests if now - t <= 20.0]
             assert len(recent) <= 0.2 * len(known) + 20.0
 
+    def test_changed_bounds_hold_at_once_and_keep_the_count(self) -> None:
+        clock = ManualClock()
+        budget = SharedRetryBudget(0.0, 10.0, 10.0, lambda: 1, clock)
+        assert [budget.take("s") for _ in range(8)] == [True] * 8
+        budget.change(0.0, 5.0, 20.0)
+        clock.advance(15.0)
+        assert not budget.take("s")
+        clock.advance(6.0)
+        assert [budget.take("s") for _ in range(5)] == [True] * 4 + [False]
+
 
 class TestForecast:
     def test_a_second_attempt_is_known_by_its_shorter_deadline(self) -> None:
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from random import Random
 
 import gevent
@@ -59,6 +59,17 @@
 # A task that fails at once again must not keep the processor busy.
 _RESTART_PAUSE_S = 0.3
 
+# Settings that a running node takes over.
+_CHANGEABLE = frozenset(
+    {
+        "answer_ttl_s",
+        "stop_s",
+        "repeat_ratio",
+        "repeat_allowance",
+        "repeat_window_s",
+    }
+)
+
 _logger = logging.getLogger(__name__)
 
 
@@ -154,6 +165,23 @@
         """Return whether new callers may be sent here."""
         return self.holder.table is not None and not self.is_stopping
 
+    def change_settings(self, settings: GatewaySettings) -> None:
+        """Take over what can change in a running node; log the rest."""
+        changed = {
+            field.name: getattr(settings, field.name)
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        }
+        taken = {name: changed[name] for name in changed if name in _CHANGEABLE}
+        self.settings = replace(self.settings, **taken)
+        self._budget.change(
+            self.settings.repeat_ratio,
+            self.settings.repeat_allowance,
+            self.settings.repeat_window_s,
+        )
+        left = sorted(changed.keys() - taken.keys())
+        _logger.info("settings changed", extra={"taken": taken, "need_restart": left})
+
     def stop(self) -> None:
         """Leave without cutting off requests, as far as the time to stop allows.
 
@@ -253,7 +281,7 @@
             settings.zone, settings.regions, self.directory, LoadBook(clock)
         )
         self._connections = EndpointConnections(clock, metrics)
-        budget = SharedRetryBudget(
+        budget = self._budget = SharedRetryBudget(
             settings.repeat_ratio,
             settings.repeat_allowance,
             settings.repeat_window_s,
