--- a/bench/run.py
+++ b/bench/run.py
@@ -12,6 +12,7 @@
 from bounds import check_decisions, check_entry_cost  # noqa: E402
 from decisions import POLICIES, CaseResult, make_cases, run_policy  # noqa: E402
 from entry_cost import measure_entry_cost  # noqa: E402
+from gateway_cost import measure_gateway_cost  # noqa: E402
 
 # Baselines run in these cases only, so that the whole stays under five minutes.
 _BASELINE_CASES = {"steady_200", "half_pool"}
@@ -27,7 +28,9 @@
     missed: list[str] = []
     if case == "entry_cost" or (case == "all" and arguments.policy == "all"):
         missed += check_entry_cost(measure_entry_cost())
-    if case != "entry_cost":
+    if case == "gateway_cost" or (case == "all" and arguments.policy == "all"):
+        print("\n".join(measure_gateway_cost().lines()))
+    if case not in {"entry_cost", "gateway_cost"}:
         missed += check_decisions(_run_decisions(case, arguments.policy))
     for line in missed:
         print(f"MISSED {line}")
@@ -38,7 +41,7 @@
     """Run one case with every policy, or all cases with ours and some with others."""
     every = {c.name for c in make_cases()} - {"warm"}
     if case != "all" and case not in every:
-        allowed = ", ".join(sorted(every | {"all", "entry_cost"}))
+        allowed = ", ".join(sorted(every | {"all", "entry_cost", "gateway_cost"}))
         sys.exit(f"--case: {case!r} is unknown; allowed: {allowed}")
     results = []
     for policy in POLICIES if only == "all" else [only]:
