Wait for results to be given up before asking a full stage endpoint again

Cause: an endpoint that refused a piece for want of room was asked again every 80 ms for as long as our count of its space said that the piece would fit; sizes of results are approximate, so it said so for seconds. Ruled out: lost releases; all were answered.

Change: the space at which a result was refused is remembered for half a second, and bounds what is begun; a result that is given up wakes the queue. What was set aside for other pieces is decided anew.

--- a/libs/gateway/sapphirehoist/gateway/pieces.py
+++ b/libs/gateway/sapphirehoist/gateway/pieces.py
@@ -14,6 +14,8 @@
 REASON_LATE = "late"
 REASON_ROOM = "room"
 REASON_GONE = "gone"
+# About half of the results that were held at a refusal are given up in this time.
+_REFUSAL_KEPT_S = 0.5
 
 
 @dataclass(slots=True, eq=False)
@@ -73,6 +75,9 @@
 class ResultSpace:
     """Space that results take up at one endpoint, as far as this node knows.
 
+    Sizes of results are approximate. What the endpoint refuses for want of room is
+    remembered for a while, so that it is not asked again before results were given up.
+
     Parameters
     ----------
     clock : Clock
@@ -83,18 +88,23 @@
     >>> from sapphirehoist.clock import ManualClock
     >>> space = ResultSpace(ManualClock())
     >>> space.take("h", 100, 4.0)
-    >>> space.used()
-    100
+    >>> space.free(250)
+    150
+    >>> space.refuse(100, 80)
+    >>> space.free(250)
+    79
     >>> space.release("h")
-    >>> space.used()
-    0
+    >>> space.free(250)
+    179
     """
 
-    __slots__ = ("_clock", "_held")
+    __slots__ = ("_clock", "_held", "_refused_bytes", "_refused_until")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._held: dict[str, tuple[int, float]] = {}
+        self._refused_bytes = 0
+        self._refused_until = 0.0
 
     def take(self, handle: str, size: int, keep_s: float) -> None:
         """Count a result until it is released or lapses."""
@@ -104,6 +114,17 @@
         """Count a result as given up."""
         self._held.pop(handle, None)
 
+    def refuse(self, held_bytes: int, size: int) -> None:
+        """Remember that a result of `size` found no room beside `held_bytes`."""
+        self._refused_bytes = held_bytes + size
+        self._refused_until = self._clock.monotonic() + _REFUSAL_KEPT_S
+
+    def free(self, room_bytes: int) -> int:
+        """Return the bytes that new results may take, of `room_bytes` in all."""
+        if self._clock.monotonic() < self._refused_until:
+            room_bytes = min(room_bytes, self._refused_bytes - 1)
+        return room_bytes - self.used()
+
     def used(self) -> int:
         """Return the bytes that are taken up."""
         now = self._clock.monotonic()
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -467,8 +467,7 @@
                 reply.close()
         queue = self._queues.get(record.name)
         if queue is not None:
-            for handle in handles:
-                queue.space.release(handle)
+            queue.release(handles)
 
     def _on_departure(self, departure: Departure, record: EndpointRecord) -> None:
         """Let waiting pieces go elsewhere when their endpoint leaves."""
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -37,8 +37,10 @@
 # A call may wait behind others and run on a slow endpoint.
 _PATIENCE_CALLS = 4.0
 _PATIENCE_EXTRA_S = 0.3
-# An endpoint that was full or had no room is asked again after about half a call.
+# An endpoint that was full is asked again after about half a call.
 _REST_S = 0.08
+# How often a queue looks for results that lapsed.
+_LOOK_S = 0.1
 # Sends of one piece, the first included.
 _MAX_SENDS = 3
 # Sizes of results are approximate. Too little space set aside costs a short call that
@@ -78,8 +80,7 @@
 
     __slots__ = (
         "_call_ends_at",
-        "_has_pieces",
-        "_no_room_until",
+        "_has_changed",
         "_numbers",
         "_parts",
         "_pieces",
@@ -102,9 +103,8 @@
         self._parts = parts
         self._numbers = count(1)
         self._pieces: dict[int, Piece] = {}
-        self._has_pieces = Event()
+        self._has_changed = Event()
         self._call_ends_at = 0.0
-        self._no_room_until = 0.0
         self.is_leaving = False
         self._task = gevent.spawn(self._run)
 
@@ -119,7 +119,7 @@
             piece.group = group
             piece.is_reserved = False
             self._pieces[next(self._numbers)] = piece
-        self._has_pieces.set()
+        self._has_changed.set()
 
     def cancel(self, request_id: str) -> None:
         """Drop the pieces of a request that wait."""
@@ -134,6 +134,12 @@
             if piece.order.request_id == request_id:
                 piece.is_committed = True
 
+    def release(self, handles: Sequence[str]) -> None:
+        """Count results as given up."""
+        for handle in handles:
+            self.space.release(handle)
+        self._has_changed.set()
+
     def backlog(self) -> Backlog:
         """Return the estimated times until a new piece would be begun."""
         spec = self._spec()
@@ -170,8 +176,8 @@
     def _run(self) -> None:
         while True:
             if not self._pieces:
-                self._has_pieces.clear()
-                self._has_pieces.wait()
+                self._has_changed.clear()
+                self._has_changed.wait()
             spec = self._spec()
             if spec is None:
                 self.fail_all("no such pool")
@@ -179,7 +185,8 @@
             pieces = self._next_pieces(spec)
             if not pieces:
                 # Space becomes free by releases and with time.
-                self._parts.clock.sleep(_REST_S / 2)
+                self._has_changed.clear()
+                self._parts.clock.wait(self._has_changed, _LOOK_S)
                 continue
             self._make(spec, pieces)
 
@@ -198,9 +205,7 @@
         room = float("inf")
         if spec.room_bytes:
             reserved = sum(_size(p) for p in self._pieces.values() if p.is_reserved)
-            room = spec.room_bytes - self.space.used() - reserved
-        if now < self._no_room_until:
-            return
+            room = self.space.free(spec.room_bytes) - reserved
         waiting = [piece for piece in self._queued() if not piece.is_reserved]
         for number in self._parts.policy.reserve(waiting, room, now):
             self._pieces[number].is_reserved = True
@@ -224,6 +229,7 @@
         started = parts.clock.monotonic()
         expected_s = spec.call_s + len(pieces) * spec.piece_s
         self._call_ends_at = started + expected_s
+        held_bytes = self.space.used()
         parts.pools.loads.begin(name)
         try:
             outcome = self._exchange(pieces, started, expected_s)
@@ -249,7 +255,7 @@
         )
         if isinstance(outcome, StageResults):
             parts.pools.loads.succeed(name, elapsed_s / expected_s, 1.0)
-            self._deliver(spec, pieces, outcome)
+            self._deliver(spec, pieces, outcome, held_bytes)
         else:
             self._send_again(pieces, outcome, elapsed_s)
 
@@ -305,22 +311,35 @@
         return results
 
     def _deliver(
-        self, spec: StagePool, pieces: list[Piece], outcome: StageResults
+        self,
+        spec: StagePool,
+        pieces: list[Piece],
+        outcome: StageResults,
+        held_bytes: int,
     ) -> None:
+        refused: list[Piece] = []
         for piece, result in zip(pieces, outcome.results, strict=True):
             if isinstance(result, PieceMade):
                 self.space.take(result.handle, _size(piece), spec.keep_s)
+                held_bytes += _size(piece)
                 piece.result.set(result)
                 continue
             self._log_piece(piece, result)
             is_wanted = not piece.is_cancelled and not self.is_leaving
             if result.reason == REASON_ROOM and is_wanted:
-                # Larger results than expected, or those of an earlier owner, fill it.
-                self._no_room_until = self._parts.clock.monotonic() + _REST_S
-                piece.is_reserved = False
-                self._pieces[next(self._numbers)] = piece
-                continue
-            piece.result.set(result)
+                refused.append(piece)
+            else:
+                piece.result.set(result)
+        if refused:
+            self.space.refuse(held_bytes, min(_size(piece) for piece in refused))
+            self._queue_again(refused)
+
+    def _queue_again(self, refused: list[Piece]) -> None:
+        """Queue pieces that found no room, beside what was to be made next."""
+        for piece in refused:
+            self._pieces[next(self._numbers)] = piece
+        for piece in self._pieces.values():
+            piece.is_reserved = False
 
     def _log_piece(self, piece: Piece, failed: PieceFailed) -> None:
         self._parts.metrics.count(
