Spread a request's large results over the endpoints of a stage

Cause: the results of one request went to the endpoint that was nearest and would begin soonest, whatever they took up there: ten results of 3 MB at an endpoint of 20.5 MB. Pieces sent to another owner were counted only once its task ran, so that one request's groups all saw the same short queue.

Change: the choice of an endpoint knows what part of its space the request would take up there; above six tenths another one is taken. Pieces are counted as they are sent.

--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -23,6 +23,9 @@
     Distance.SAME_REGION: 0.005,
     Distance.OTHER_REGION: 0.045,
 }
+# Part of an endpoint's space that one request should take up. More would keep other
+# requests waiting for all of it, and may never fit.
+_LARGEST_SPACE_SHARE = 0.6
 # What results cost on a link between zones, in terms of waiting time.
 _SECONDS_PER_REMOTE_MB = 0.04
 
@@ -151,12 +154,15 @@
     remote_bytes : int
         Inputs that it would fetch from other availability zones, and results that
         would be read in others.
+    space_share : float
+        Part of its space that the request would then take up there.
     """
 
     name: str
     distance: Distance
     backlog_s: float = 0.0
     remote_bytes: int = 0
+    space_share: float = 0.0
 
 
 class StageEndpointPolicy(ABC):
@@ -180,6 +186,9 @@
 class SoonestStageEndpoint(StageEndpointPolicy):
     """The one that begins first; distance and bytes on links count as waiting time.
 
+    The pieces of a request with large results are spread, so that none of the
+    endpoints is filled by it.
+
     Examples
     --------
     >>> near = StageEndpoint("near", Distance.SAME_ZONE, 0.2)
@@ -189,6 +198,9 @@
     >>> small = StageEndpoint("small", Distance.OTHER_REGION, 0.0, 9_000)
     >>> SoonestStageEndpoint().choose([near, small]).name
     'small'
+    >>> full = StageEndpoint("full", Distance.SAME_ZONE, space_share=0.9)
+    >>> SoonestStageEndpoint().choose([full, far]).name
+    'far'
     """
 
     __slots__ = ()
@@ -196,7 +208,12 @@
     def choose(self, endpoints: Sequence[StageEndpoint]) -> StageEndpoint:
         """Return the endpoint with the least wait."""
         return min(
-            endpoints, key=lambda endpoint: (_waiting_s(endpoint), endpoint.name)
+            endpoints,
+            key=lambda endpoint: (
+                max(endpoint.space_share, _LARGEST_SPACE_SHARE),
+                _waiting_s(endpoint),
+                endpoint.name,
+            ),
         )
 
 
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -142,7 +142,11 @@
         directory.on_departure(self._on_departure)
 
     def choose(
-        self, service: str, remote_bytes: Callable[[str], int], avoid: str = ""
+        self,
+        service: str,
+        remote_bytes: Callable[[str], int],
+        space_bytes: Callable[[str], int],
+        avoid: str = "",
     ) -> EndpointRecord | None:
         """Return the endpoint that should make pieces.
 
@@ -152,6 +156,8 @@
             Pool of the endpoint.
         remote_bytes : callable
             Returns the bytes that cross zones if pieces are made in a given one.
+        space_bytes : callable
+            Returns the bytes that the request would then take up at an endpoint.
         avoid : str
             Endpoint that is chosen only if there is no other.
 
@@ -166,6 +172,8 @@
         candidates = others or able or records
         if not candidates:
             return None
+        spec = self.spec(service)
+        room_bytes = spec.room_bytes if spec is not None else 0
         chosen = self._choice.choose(
             [
                 StageEndpoint(
@@ -173,6 +181,7 @@
                     self._pools.distance(r),
                     self.backlog(r).on_time_s,
                     remote_bytes(r.zone),
+                    space_bytes(r.name) / room_bytes if room_bytes else 0.0,
                 )
                 for r in candidates
             ]
@@ -213,6 +222,8 @@
         if owner is None:
             self._queue(record).submit(pieces)
             return
+        # Counted before the task runs, for the choice of the next pieces' endpoint.
+        self._outstanding[record.name] += len(pieces)
         gevent.spawn(self._ask, owner, record, pieces)
 
     def cancel(self, endpoint: str, request_id: str) -> None:
@@ -302,7 +313,6 @@
             first.is_committed,
         )
         made = self._tickets_open[ticket] = AsyncResult()
-        self._outstanding[record.name] += len(pieces)
         try:
             accepted = self._bus.ask(
                 owner.peer_address, request, MakeAccepted, _ACCEPT_TIMEOUT_S
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -253,8 +253,12 @@
 
     def _stage_backlog(self, stage: int) -> Backlog:
         spec = self._route.stages[stage]
-        remote = self._remote_bytes(stage, self._counts[stage])
-        record = self._pools.choose(spec.service, remote)
+        pieces = self._counts[stage]
+        record = self._pools.choose(
+            spec.service,
+            self._remote_bytes(stage, pieces),
+            self._space_bytes(stage, 0),
+        )
         call_s = self._call_s(stage)
         if record is None:
             return Backlog(call_s, call_s)
@@ -293,6 +297,18 @@
 
         return remote
 
+    def _space_bytes(self, stage: int, pieces: int) -> Callable[[str], int]:
+        """Return how much this request takes up with `pieces` more at an endpoint."""
+        taken: dict[str, int] = {}
+        for before, spec in enumerate(self._route.stages):
+            for endpoint in filter(None, self._endpoints[before]):
+                taken[endpoint] = taken.get(endpoint, 0) + spec.result_bytes
+        for waiting in self._open:
+            size = waiting.piece.result_bytes
+            taken[waiting.endpoint] = taken.get(waiting.endpoint, 0) + size
+        more = pieces * self._route.stages[stage].result_bytes
+        return lambda endpoint: taken.get(endpoint, 0) + more
+
     def _call_s(self, stage: int) -> float:
         """Return the time of the calls for a stage's pieces, without waiting."""
         spec = self._pools.spec(self._route.stages[stage].service)
@@ -386,8 +402,12 @@
         size = self._pools.group_size(spec.service, spec.result_bytes)
         for first in range(0, len(indexes), size):
             group = indexes[first : first + size]
-            remote = self._remote_bytes(stage, len(group))
-            record = self._pools.choose(spec.service, remote, avoid)
+            record = self._pools.choose(
+                spec.service,
+                self._remote_bytes(stage, len(group)),
+                self._space_bytes(stage, len(group)),
+                avoid,
+            )
             if record is None:
                 return StagesFailed(f"stage {stage}: no endpoint")
             pieces = [self._open_piece(stage, index, record.name) for index in group]
