Give shared parts of prompts homes in a fleet too large to tell everyone

Cause: a node told the 12 nearest others which engine had read a part. At 370 nodes the messages would take 18 kB/s of the 3 a node may use.

Change: in a fleet of more than 13 nodes nobody is told; each shared part counts as held by its home, chosen by rendezvous over the engines, so that nodes send it to the same engine without talking, as long as that one is not too busy or too far. Smaller fleets tell everyone, as before.

The new test plays 2,000 requests of 60 nodes: at most one in twenty reads a held part again, and 0.3 and more without homes.

--- a/libs/decisions/sapphirehoist/decisions/placement.py
+++ b/libs/decisions/sapphirehoist/decisions/placement.py
@@ -8,11 +8,12 @@
 
 from abc import ABC, abstractmethod
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 
 from sapphirehoist.clock import Clock
+from sapphirehoist.decisions.subset import rendezvous_score
 
 # Round trips, plus what bytes across the link cost in terms of time.
 _SAME_ZONE_S = 0.001
@@ -160,26 +161,51 @@
     """The least predicted time to the first token, with shared prompts and memory.
 
     An engine that was sent a part lately, by this node or by one that told of it,
-    counts as holding it.
+    counts as holding it. Where nodes do not tell each other, so does the part's home,
+    an engine that all nodes agree on.
 
     Parameters
     ----------
     clock : Clock
         Ages what is remembered of prompts.
+    has_homes : callable
+        Returns whether parts have homes.
+
+    Examples
+    --------
+    Two nodes that know nothing of each other choose the same engine.
+
+    >>> from sapphirehoist.clock import ManualClock
+    >>> places = [Place(f"engine-{n}", Distance.SAME_ZONE, 48, 0) for n in range(9)]
+    >>> work = Work(parts=(PromptPart("shared", 13_300), PromptPart("own", 3_700)))
+    >>> nodes = [GenerationPlacement(ManualClock(), lambda: True) for _ in range(2)]
+    >>> len({node.choose(work, places).name for node in nodes})
+    1
     """
 
-    __slots__ = ("_clock", "_sent")
+    __slots__ = ("_clock", "_has_homes", "_sent")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, has_homes: Callable[[], bool] = lambda: False
+    ) -> None:
         self._clock = clock
+        self._has_homes = has_homes
         self._sent: OrderedDict[tuple[str, str], float] = OrderedDict()
 
     def choose(self, work: Work, places: Sequence[Place]) -> Place:
         """Return the place with the least predicted time to the first token."""
         known = {part.name for part in work.parts if self._is_anywhere(part, places)}
+        homes: dict[str, str] = {}
+        if self._has_homes():
+            # The last part belongs to one request or session.
+            homes = {p.name: _home(p.name, places) for p in work.parts[:-1]}
+            known |= homes.keys()
         return min(
             places,
-            key=lambda place: (self._first_token_s(work, place, known), place.name),
+            key=lambda place: (
+                self._first_token_s(work, place, known, homes),
+                place.name,
+            ),
         )
 
     def placed(self, work: Work, place: Place) -> None:
@@ -194,17 +220,25 @@
         while len(self._sent) > _REMEMBERED_PREFIXES:
             self._sent.popitem(last=False)
 
-    def unread_tokens(self, work: Work, endpoint: str) -> int:
-        """Return the tokens of the prompt that `endpoint` has to read."""
+    def unread_tokens(
+        self, work: Work, endpoint: str, homes: Mapping[str, str] | None = None
+    ) -> int:
+        """Return the tokens of the prompt that `endpoint` has to read.
+
+        `homes` names an engine for each part that counts as holding it.
+        """
         unread = 0
         is_held = True
         for part in work.parts:
-            is_held = is_held and self._is_remembered(part, endpoint)
+            is_home = homes is not None and homes.get(part.name) == endpoint
+            is_held = is_held and (is_home or self._is_remembered(part, endpoint))
             unread += 0 if is_held else part.tokens
         return unread
 
-    def _first_token_s(self, work: Work, place: Place, known: set[str]) -> float:
-        unread = self.unread_tokens(work, place.name)
+    def _first_token_s(
+        self, work: Work, place: Place, known: set[str], homes: Mapping[str, str]
+    ) -> float:
+        unread = self.unread_tokens(work, place.name, homes)
         shared = sum(part.tokens for part in work.parts if part.name in known)
         whole = sum(part.tokens for part in work.parts)
         again = max(0, unread - (whole - shared))
@@ -229,6 +263,11 @@
         return sent is not None and self._clock.monotonic() - sent < _PREFIX_KEPT_S
 
 
+def _home(part: str, places: Sequence[Place]) -> str:
+    """Return the engine that every node takes as the holder of `part`."""
+    return max(places, key=lambda place: rendezvous_score(part, place.name)).name
+
+
 def _predicted_s(work: Work, place: Place) -> float:
     work_s = place.work_s or work.expected_s
     rounds = max(1.0, (place.load + 1) / place.slots)
--- a/libs/decisions/sapphirehoist/decisions/tests/test_stage_decisions.py
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_stage_decisions.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from random import Random
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -213,3 +216,49 @@
         correction = ForecastCorrection()
         correction.observe("r", 0.1, 100.0)
         assert correction.factor("r") <= 1.2
+
+
+class TestHomes:
+    """Many nodes that do not tell each other send prompts with shared parts."""
+
+    @staticmethod
+    def read_again(has_homes: bool) -> float:
+        """Return the part of the shared tokens' reads that were not the first."""
+        random = Random(7)
+        nodes = [
+            GenerationPlacement(ManualClock(), lambda: has_homes) for _ in range(60)
+        ]
+        names = [f"engine-{number}" for number in range(45)]
+        held: set[tuple[str, str]] = set()
+        read = again = 0
+        for number in range(2_000):
+            shared = f"shared-{random.randrange(40)}"
+            parts = (PromptPart(shared, 13_300), PromptPart(f"own-{number}", 3_700))
+            places = [
+                Place(name, Distance.SAME_REGION, 48, random.randrange(12))
+                for name in names
+            ]
+            work = Work(parts=parts)
+            node = random.choice(nodes)
+            chosen = node.choose(work, places)
+            node.placed(work, chosen)
+            if (shared, chosen.name) not in held:
+                read += 1
+                again += any(part == shared for part, _ in held)
+                held.add((shared, chosen.name))
+        return again / 2_000
+
+    def test_a_shared_part_is_seldom_read_again(self) -> None:
+        """One request in twenty may read a part that some engine holds."""
+        assert self.read_again(has_homes=True) <= 0.05
+        assert self.read_again(has_homes=False) > 0.3
+
+    def test_a_home_that_is_overloaded_is_passed_by(self) -> None:
+        work = Work(parts=(PromptPart("shared", 13_300), PromptPart("own", 3_700)))
+        placement = GenerationPlacement(ManualClock(), lambda: True)
+        idle = [Place(f"e-{n}", Distance.SAME_ZONE, 48, 0) for n in range(9)]
+        home = placement.choose(work, idle).name
+        loaded = [
+            replace(place, load=90) if place.name == home else place for place in idle
+        ]
+        assert placement.choose(work, loaded).name != home
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -331,7 +331,9 @@
         self, pools: EndpointPools, budget: SharedRetryBudget
     ) -> Dispatcher:
         clock = self._parts.clock
-        placement = GenerationPlacement(clock)
+        placement = GenerationPlacement(
+            clock, lambda: not PromptSharing.is_told(self.fleet)
+        )
         self._prompts = PromptSharing(self.fleet, self._bus, placement, clock)
         return Dispatcher(
             pools,
--- a/libs/gateway/sapphirehoist/gateway/prompt_news.py
+++ b/libs/gateway/sapphirehoist/gateway/prompt_news.py
@@ -6,12 +6,12 @@
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import GenerationPlacement
-from sapphirehoist.membership import Fleet, Member
+from sapphirehoist.membership import Fleet
 from sapphirehoist.peers import PeerBus, PeerMessage
 
 # Parts are collected this long, far less than the time between their uses.
 _COLLECT_S = 0.05
-# In a large fleet only the nearest nodes are told, so that the cost stays flat.
+# A larger fleet agrees on homes of parts instead, so that the cost stays flat.
 _MOST_TOLD = 12
 
 
@@ -54,8 +54,15 @@
         self._collected: dict[str, list[str]] = {}
         bus.subscribe(PromptNews, self._handle)
 
+    @staticmethod
+    def is_told(fleet: Fleet) -> bool:
+        """Return whether the fleet is small enough for every node to be told."""
+        return len(fleet.others()) <= _MOST_TOLD
+
     def tell(self, parts: list[str], endpoint: str) -> None:
         """Tell others soon that `endpoint` was sent `parts`."""
+        if not self.is_told(self._fleet):
+            return
         # The last part belongs to one request or session and is seldom shared.
         self._collected.setdefault(endpoint, []).extend(parts[:-1] or parts)
 
@@ -67,15 +74,9 @@
                 continue
             news = PromptNews(self._collected)
             self._collected = {}
-            for member in self._told():
+            for member in self._fleet.others():
                 self._bus.tell(member.peer_address, news)
 
-    def _told(self) -> list[Member]:
-        own = self._fleet.member
-        others = self._fleet.others()
-        others.sort(key=lambda m: (m.zone != own.zone, m.region != own.region, m.vm))
-        return others[:_MOST_TOLD]
-
     def _handle(self, sender: str, news: PromptNews) -> None:
         for endpoint, parts in news.parts.items():
             for part in parts:
