Split the releasing of results from the pools of stages

Change: `ResultReleases` collects results and has owners give them up; the candidates of a choice are listed by a function of their own. Nothing is decided otherwise.

--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -44,10 +44,9 @@
     MadeNews,
     MakeAccepted,
     MakeRequest,
-    ReleaseNews,
 )
 from sapphirehoist.gateway.stage_queue import EndpointQueue, QueueParts
-from sapphirehoist.http1 import EndpointConnections, Reply
+from sapphirehoist.gateway.stage_releases import ResultReleases
 from sapphirehoist.membership import Fleet, Member
 from sapphirehoist.peers import NoReply, PeerBus
 from sapphirehoist.routes import RouteTable, StagePool
@@ -59,10 +58,6 @@
 # Part of an endpoint's space that one request may take; the rest is made elsewhere.
 _GROUP_SHARE = 0.35
 _LARGEST_GROUP = 1_000
-# Results that are no longer needed are given up together, soon.
-_RELEASE_EVERY_S = 0.02
-_RELEASE_TIMEOUT_S = 1.0
-_HANDLES_PER_CALL = 200
 
 _logger = logging.getLogger(__name__)
 
@@ -96,14 +91,13 @@
         "_bus",
         "_choice",
         "_clock",
-        "_connections",
         "_directory",
         "_fleet",
         "_outstanding",
         "_parts",
         "_pools",
         "_queues",
-        "_released",
+        "_releases",
         "_table",
         "_tickets",
         "_tickets_open",
@@ -127,16 +121,16 @@
         self._table = table
         self._clock: Clock = parts.clock
         self._pools: EndpointPools = parts.pools
-        self._connections: EndpointConnections = parts.connections
         self._queues: dict[str, EndpointQueue] = {}
         self._told: dict[str, _Told] = {}
         self._outstanding: Counter[str] = Counter()
-        self._released: dict[str, list[str]] = {}
+        self._releases = ResultReleases(
+            bus, directory, self._owner, self._queues.get, parts
+        )
         self._tickets = count(1)
         self._tickets_open: dict[int, AsyncResult] = {}
         bus.subscribe(MakeRequest, self._handle_make)
         bus.subscribe(MadeNews, self._handle_made)
-        bus.subscribe(ReleaseNews, self._handle_release)
         bus.subscribe(CancelNews, self._handle_cancel)
         bus.subscribe(CommitNews, self._handle_commit)
         directory.on_departure(self._on_departure)
@@ -166,10 +160,7 @@
         EndpointRecord or None
             None while the pool has no endpoint in service.
         """
-        records = self._directory.in_service(service)
-        able = [r for r in records if not self._pools.loads.is_ejected(r.name)]
-        others = [r for r in able if r.name != avoid]
-        candidates = others or able or records
+        candidates = self._candidates(service, avoid)
         if not candidates:
             return None
         spec = self.spec(service)
@@ -188,6 +179,12 @@
         )
         return self._directory.get(chosen.name)
 
+    def _candidates(self, service: str, avoid: str) -> list[EndpointRecord]:
+        records = self._directory.in_service(service)
+        able = [r for r in records if not self._pools.loads.is_ejected(r.name)]
+        others = [r for r in able if r.name != avoid]
+        return others or able or records
+
     def backlog(self, record: EndpointRecord) -> Backlog:
         """Return the estimated times until `record` would begin with a new piece."""
         queue = self._queues.get(record.name)
@@ -246,15 +243,11 @@
 
     def release(self, endpoint: str, handle: str) -> None:
         """Give up a result soon."""
-        self._released.setdefault(endpoint, []).append(handle)
+        self._releases.add(endpoint, handle)
 
     def run(self) -> None:
         """Pass released results on, until killed."""
-        while True:
-            self._clock.sleep(_RELEASE_EVERY_S)
-            released, self._released = self._released, {}
-            for endpoint, handles in released.items():
-                self._pass_release(endpoint, handles)
+        self._releases.run()
 
     def zone_of(self, endpoint: str) -> str:
         """Return the availability zone of an endpoint; empty if it is gone."""
@@ -418,7 +411,7 @@
         )
         known = self._fleet.view.get(sender)
         if known is None or known.member is None:
-            self._release_here(request.endpoint, [h for h in handles if h])
+            self._releases.give_up(request.endpoint, [h for h in handles if h])
             return
         self._bus.tell(known.member.peer_address, news)
 
@@ -432,9 +425,6 @@
         for handle in filter(None, news.handles):
             self.release(news.endpoint, handle)
 
-    def _handle_release(self, sender: str, news: ReleaseNews) -> None:
-        self._release_here(news.endpoint, news.handles)
-
     def _handle_cancel(self, sender: str, news: CancelNews) -> None:
         queue = self._queues.get(news.endpoint)
         if queue is not None:
@@ -445,40 +435,6 @@
         if queue is not None:
             queue.commit(news.request_id)
 
-    def _pass_release(self, endpoint: str, handles: list[str]) -> None:
-        record = self._directory.get(endpoint)
-        if record is None:
-            return
-        owner = self._owner(record)
-        if owner is None:
-            self._release_here(endpoint, handles)
-        else:
-            self._bus.tell(owner.peer_address, ReleaseNews(endpoint, handles))
-
-    def _release_here(self, endpoint: str, handles: list[str]) -> None:
-        record = self._directory.get(endpoint)
-        if record is None:
-            return
-        for first in range(0, len(handles), _HANDLES_PER_CALL):
-            part = handles[first : first + _HANDLES_PER_CALL]
-            gevent.spawn(self._send_release, record, part)
-
-    def _send_release(self, record: EndpointRecord, handles: list[str]) -> None:
-        """Ask once: results that are not given up lapse by themselves."""
-        self._parts.metrics.count("stage_results_released_total", len(handles))
-        with gevent.Timeout(_RELEASE_TIMEOUT_S, False):
-            reply = self._connections.call(
-                record.address,
-                self._parts.dialect.free_request(handles),
-                lambda head: True,
-            )
-            if isinstance(reply, Reply):
-                reply.read_all()
-                reply.close()
-        queue = self._queues.get(record.name)
-        if queue is not None:
-            queue.release(handles)
-
     def _on_departure(self, departure: Departure, record: EndpointRecord) -> None:
         """Let waiting pieces go elsewhere when their endpoint leaves."""
         if departure.phase is EndpointPhase.GONE:
