Let the test of ports not count on the next port being free

The allocator passes such ports over; the test did not.

Change: the test takes the next port that is free, which is the one that the allocator would hand out next, and asks for one beyond it: as strict as before. Ruled out: two processes with one block; the block's first port is held, and the ports of three processes differ in their own test.

--- a/libs/testing/sapphirehoist/testing/tests/test_ports.py
+++ b/libs/testing/sapphirehoist/testing/tests/test_ports.py
@@ -47,12 +47,26 @@
     assert len(set(taken)) == len(taken)
 
 
+def bind_next_free(sock: socket.socket, port: int) -> int:
+    """Bind the first port after `port` that is free, and return it.
+
+    Some are not: a closed connection of an earlier process keeps its port for a minute.
+    """
+    while True:
+        port += 1
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return port
+
+
 def test_a_taken_port_is_passed_over() -> None:
     blocks = PortBlocks()
     port = blocks.take()
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", port + 1))
-        assert blocks.take() > port + 1
+    with socket.socket() as sock:
+        taken = bind_next_free(sock, port)
+        assert blocks.take() > taken
 
 
 def test_no_block_left_is_said() -> None:
