--- a/libs/configuration/sapphirehoist/configuration/spread.py
+++ b/libs/configuration/sapphirehoist/configuration/spread.py
@@ -157,6 +157,12 @@
             self._apply(ChangesReply([], loaded.catalog.snapshot()))
         return True
 
+    def has_version(self, version: int) -> bool:
+        """Return whether `version` exists, as far as this node or the table knows."""
+        if version > self._replica.version:
+            self.catch_up_from_table()
+        return version <= self._replica.version
+
     def pull(self, address: str) -> bool:
         """Fetch the changes that this node lacks from `address`."""
         request = ChangesRequest(self._replica.version)
--- a/libs/decisions/sapphirehoist/decisions/limits.py
+++ b/libs/decisions/sapphirehoist/decisions/limits.py
@@ -119,6 +119,10 @@
         for rate in self._rates.values():
             rate.fade(now)
         self._rates = {t: r for t, r in self._rates.items() if r.asked > _FORGOTTEN}
+        if len(self._rates) < 2:
+            # A team alone takes nothing from another.
+            self._granted = {}
+            return
         demands = {name: rate.asked for name, rate in self._rates.items()}
         taken = sum(rate.taken for rate in self._rates.values())
         capacity = _HEADROOM * self._peak_taken(taken, now)
--- a/libs/decisions/sapphirehoist/decisions/tests/test_decisions.py
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_decisions.py
@@ -206,6 +206,14 @@
     assert shares.granted_part("large", {"large": 1.0, "small": 1.0}) == 1.0
 
 
+def test_a_lone_team_is_not_held_to_what_a_starting_node_took() -> None:
+    shares = TeamShares(ManualClock())
+    shares.take("only", 0.01)
+    for _ in range(6):
+        shares.ask("only", 1.0)
+    assert shares.granted_part("only", {}) == 1.0
+
+
 def test_a_burst_fades_and_is_forgiven() -> None:
     clock = ManualClock()
     shares = TeamShares(clock)
--- a/libs/entry/sapphirehoist/entry/operators.py
+++ b/libs/entry/sapphirehoist/entry/operators.py
@@ -202,7 +202,7 @@
         return self._acceptance(outcome.change.version)
 
     def _acceptance(self, version: int) -> HTTPResponse:
-        if version > self._parts.replica.version:
+        if not self._parts.spread.has_version(version):
             detail = f"version: {version}; newest: {self._parts.replica.version}"
             return to_response(NotRun(Reason.INVALID, detail))
         try:
--- a/libs/node/sapphirehoist/node/tests/test_configuration.py
+++ b/libs/node/sapphirehoist/node/tests/test_configuration.py
@@ -151,6 +151,18 @@
 
 
 class TestAcceptance:
+    def test_a_version_that_no_peer_told_of_is_known_from_the_table(
+        self, fleet: InProcessFleet
+    ) -> None:
+        start(fleet)
+        fleet.cut("vm-2", "vm-0")
+        fleet.cut("vm-2", "vm-1")
+        version = fleet.commit("vm-0", [team(1)])
+        node = fleet.nodes["vm-2"]
+        assert node.replica.version < version
+        assert node.spread.has_version(version)
+        assert not node.spread.has_version(version + 1)
+
     def test_waits_for_a_member_that_is_cut_off(self, fleet: InProcessFleet) -> None:
         start(fleet)
         fleet.cut("vm-2", "vm-0")
