Count stages until callers stop waiting for the first event

Cause: callers abandon a stream that has not begun after the longest of 2 s, four targets and eight of the pauses that are on time. Change: Route.first_event_patience_s; stages, forecasts and admission work towards it.

--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -221,6 +221,7 @@
             request.arrived + limit_s,
             request.arrived + deadline_s,
             request.arrived + route.target_s - elapsed_s,
+            request.arrived + min(limit_s, _first_event_limit_s(route)),
         )
 
     def _run(
@@ -231,7 +232,7 @@
         stages = StageJob(
             job.call,
             job.route,
-            job.limit_at,
+            job.begin_by,
             job.target_at,
             job.priority,
             self._stages,
@@ -258,7 +259,7 @@
         now = self._clock.monotonic()
         if now + forecast.on_time_s * factor <= job.target_at:
             return None
-        left_s = job.limit_at - now
+        left_s = job.begin_by - now
         wait_s = forecast.total_s * factor - left_s * _FORECAST_MARGIN
         if wait_s <= 0.0:
             return None
@@ -329,3 +330,9 @@
             return refusal
         factor = 1.0 + self._random.uniform(0.0, _RETRY_SPREAD)
         return Refusal(refusal.reason, refusal.detail, refusal.retry_after_s * factor)
+
+
+def _first_event_limit_s(route: Route) -> float:
+    """Return how long the first bytes of an answer may take to be of use."""
+    patience_s = route.first_event_patience_s
+    return route.timeout_s if patience_s is None else patience_s - _ANSWER_MARGIN_S
--- a/libs/gateway/sapphirehoist/gateway/job.py
+++ b/libs/gateway/sapphirehoist/gateway/job.py
@@ -29,6 +29,8 @@
         Its rank; 0 is the most urgent.
     limit_at, deadline_at, target_at : float
         Monotonic times: final answer, end of the caller's patience, target.
+    begin_by : float
+        Monotonic time after which the first bytes of the answer find no caller.
     """
 
     request: CallerRequest
@@ -40,6 +42,7 @@
     limit_at: float
     deadline_at: float
     target_at: float
+    begin_by: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/routes/sapphirehoist/routes/model.py
+++ b/libs/routes/sapphirehoist/routes/model.py
@@ -5,6 +5,12 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+# Callers abandon a stream after the longest of these: a fixed time, so many targets,
+# and so many of the longest pauses that are on time.
+_LEAST_PATIENCE_S = 2.0
+_PATIENCE_TARGETS = 4.0
+_PATIENCE_GAPS = 8.0
+
 
 class CallKind(Enum):
     """What a route allows to be repeated."""
@@ -76,6 +82,24 @@
     is_resumable: bool = False
     longest_gap_s: float = 0.0
 
+    @property
+    def first_event_patience_s(self) -> float | None:
+        """Return how long callers wait for a stream's first event; None if not at all.
+
+        Examples
+        --------
+        >>> route = Route("r", "h", "/", CallKind.STREAMING, 8, 1.3, 0, ())
+        >>> route.first_event_patience_s
+        5.2
+        """
+        if self.kind is not CallKind.STREAMING:
+            return None
+        return max(
+            _LEAST_PATIENCE_S,
+            _PATIENCE_TARGETS * self.target_s,
+            _PATIENCE_GAPS * self.longest_gap_s,
+        )
+
     @property
     def is_repeatable(self) -> bool:
         """Return whether a request may run more than once."""
