Tell who waits for a cancelled piece; count an ejected endpoint as behind

Cause 1: a queue dropped the pieces of a cancelled request without setting their results. Change: cancelled pieces end as such; the backlog of an ejected endpoint includes the time until it gets work again.

--- a/libs/decisions/sapphirehoist/decisions/load.py
+++ b/libs/decisions/sapphirehoist/decisions/load.py
@@ -177,6 +177,13 @@
         load = self._loads.get(endpoint)
         return load is not None and self._clock.monotonic() < load.ejected_until
 
+    def ejected_for_s(self, endpoint: str) -> float:
+        """Return the seconds until `endpoint` gets work again."""
+        load = self._loads.get(endpoint)
+        if load is None:
+            return 0.0
+        return max(0.0, load.ejected_until - self._clock.monotonic())
+
     def is_probing(self, endpoint: str) -> bool:
         """Return whether `endpoint` is back after an ejection but has not succeeded."""
         load = self._loads.get(endpoint)
--- a/libs/gateway/sapphirehoist/gateway/pieces.py
+++ b/libs/gateway/sapphirehoist/gateway/pieces.py
@@ -10,6 +10,7 @@
 from sapphirehoist.gateway.dialect import PieceOrder
 
 # Why a piece was not made; endpoints give the last two, and `gone` and `error`.
+REASON_CANCELLED = "cancelled"
 REASON_LOST = "lost"
 REASON_LATE = "late"
 REASON_ROOM = "room"
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -21,6 +21,7 @@
     StageResults,
 )
 from sapphirehoist.gateway.pieces import (
+    REASON_CANCELLED,
     REASON_LATE,
     REASON_LOST,
     REASON_ROOM,
@@ -127,6 +128,7 @@
             if piece.order.request_id == request_id:
                 piece.is_cancelled = True
                 del self._pieces[number]
+                piece.result.set(PieceFailed(REASON_CANCELLED))
 
     def commit(self, request_id: str) -> None:
         """Let the pieces of a request that holds space by now go first."""
@@ -148,6 +150,7 @@
         now = self._parts.clock.monotonic()
         call_s = spec.call_s + spec.batch * spec.piece_s
         under_way_s = max(0.0, self._call_ends_at - now)
+        under_way_s += self._parts.pools.loads.ejected_for_s(self.record.name)
         on_time = sum(
             1 for p in self._pieces.values() if p.is_committed or p.due_at >= now
         )
