Tell apart what waits before a request by its rank

Cause: since pieces go by rank, a forecast that counts everything that waits is wrong for both sides: plans were refused for summaries and questions that wait behind them, and an endpoint whose queue holds only questions looked as far behind to a plan as one full of plans. Change: a backlog has a time for each level of urgency; forecasts and the choice of endpoints use the request's own. What cannot meet its target is forecast with the next rank. Tests: the backlog of a queue that holds only questions, and of one whose plan is late.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -12,6 +12,7 @@
     TargetAdmission,
 )
 from sapphirehoist.decisions.batching import (
+    URGENCY_LEVELS,
     BatchPolicy,
     NearestStageEndpoint,
     OneByOne,
@@ -20,6 +21,7 @@
     StageEndpoint,
     StageEndpointPolicy,
     UrgentFirst,
+    urgency_level,
 )
 from sapphirehoist.decisions.forecast import CallerPatience, ForecastCorrection
 from sapphirehoist.decisions.limits import TeamShares
@@ -55,6 +57,7 @@
 from sapphirehoist.decisions.targets import ClassTargets
 
 __all__ = [
+    "URGENCY_LEVELS",
     "Action",
     "Admission",
     "AdmissionPolicy",
@@ -99,4 +102,5 @@
     "Work",
     "endpoint_subset",
     "rendezvous_score",
+    "urgency_level",
 ]
--- a/libs/decisions/sapphirehoist/decisions/batching.py
+++ b/libs/decisions/sapphirehoist/decisions/batching.py
@@ -13,6 +13,8 @@
 
 from sapphirehoist.decisions.placement import Distance
 
+# Levels of urgency by which backlogs are told apart; the last one stands for the rest.
+URGENCY_LEVELS = 8
 # Groups that need less than this part of the free space pass those that wait for it.
 _SMALL_SHARE = 0.05
 # Round trips, for the call and for those that use its results.
@@ -220,6 +222,19 @@
     return endpoint.backlog_s + _ROUND_TRIPS_S[endpoint.distance] + links_s
 
 
+def urgency_level(priority: int, is_late: bool) -> int:
+    """Return the level at which a piece is served; lower levels go first.
+
+    What cannot meet its target goes with the next rank.
+
+    Examples
+    --------
+    >>> urgency_level(0, is_late=True)
+    1
+    """
+    return min(priority + is_late, URGENCY_LEVELS - 1)
+
+
 def _rank(piece: QueuedPiece, now: float) -> tuple[bool, int, bool, float]:
     """Return the key by which pieces are ordered; the least goes first."""
     is_late = piece.due_at < now and not piece.is_committed
--- a/libs/gateway/sapphirehoist/gateway/pieces.py
+++ b/libs/gateway/sapphirehoist/gateway/pieces.py
@@ -7,6 +7,7 @@
 from gevent.event import AsyncResult
 
 from sapphirehoist.clock import Clock
+from sapphirehoist.decisions import urgency_level
 from sapphirehoist.gateway.dialect import PieceOrder
 
 # Why a piece was not made; endpoints give the last two, and `gone` and `error`.
@@ -63,14 +64,32 @@
 
     Attributes
     ----------
-    on_time_s : float
-        For a piece whose request can meet its target.
-    total_s : float
-        For one whose request cannot.
+    ahead_s : tuple of float
+        For a piece of each level of urgency, the most urgent first.
+
+    Examples
+    --------
+    >>> backlog = Backlog((0.1, 0.5, 2.0))
+    >>> backlog.on_time_s(0), backlog.late_s(0)
+    (0.1, 0.5)
     """
 
-    on_time_s: float
-    total_s: float
+    ahead_s: tuple[float, ...]
+
+    def on_time_s(self, priority: int) -> float:
+        """Return the time for a piece whose request can meet its target."""
+        return self._at(urgency_level(priority, is_late=False))
+
+    def late_s(self, priority: int) -> float:
+        """Return the time for a piece whose request cannot meet its target."""
+        return self._at(urgency_level(priority, is_late=True))
+
+    def after(self, seconds: float) -> Backlog:
+        """Return what is left of it after some time."""
+        return Backlog(tuple(max(0.0, ahead - seconds) for ahead in self.ahead_s))
+
+    def _at(self, level: int) -> float:
+        return self.ahead_s[min(level, len(self.ahead_s) - 1)]
 
 
 class ResultSpace:
--- a/libs/gateway/sapphirehoist/gateway/stage_messages.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_messages.py
@@ -45,14 +45,13 @@
 
     Attributes
     ----------
-    on_time_s, total_s : float
+    ahead_s : tuple of float
         `Backlog` of the endpoint, without them.
     """
 
     KIND: ClassVar[str] = "gateway.make_accepted"
 
-    on_time_s: float
-    total_s: float
+    ahead_s: tuple[float, ...]
 
 
 class MadeNews(PeerMessage, frozen=True, array_like=True):
@@ -68,7 +67,7 @@
         Handle of each result; empty where there is none.
     reasons : list of str
         Why there is none.
-    on_time_s, total_s : float
+    ahead_s : tuple of float
         `Backlog` of the endpoint.
     """
 
@@ -78,8 +77,7 @@
     endpoint: str
     handles: list[str]
     reasons: list[str]
-    on_time_s: float
-    total_s: float
+    ahead_s: tuple[float, ...]
 
 
 class ReleaseNews(PeerMessage, frozen=True, array_like=True):
--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -9,20 +9,21 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from itertools import count
+from itertools import accumulate, count
 
 import gevent
 from gevent.event import AsyncResult
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import (
+    URGENCY_LEVELS,
     Distance,
     StageEndpoint,
     StageEndpointPolicy,
     rendezvous_score,
+    urgency_level,
 )
 from sapphirehoist.discovery import (
     Departure,
@@ -123,7 +124,7 @@
         self._pools: EndpointPools = parts.pools
         self._queues: dict[str, EndpointQueue] = {}
         self._told: dict[str, _Told] = {}
-        self._outstanding: Counter[str] = Counter()
+        self._outstanding: dict[str, list[int]] = {}
         self._releases = ResultReleases(
             bus, directory, self._owner, self._queues.get, parts
         )
@@ -140,6 +141,7 @@
         service: str,
         remote_bytes: Callable[[str], int],
         space_bytes: Callable[[str], int],
+        priority: int,
         avoid: str = "",
     ) -> EndpointRecord | None:
         """Return the endpoint that should make pieces.
@@ -152,6 +154,8 @@
             Returns the bytes that cross zones if pieces are made in a given one.
         space_bytes : callable
             Returns the bytes that the request would then take up at an endpoint.
+        priority : int
+            Rank of the request.
         avoid : str
             Endpoint that is chosen only if there is no other.
 
@@ -170,7 +174,7 @@
                 StageEndpoint(
                     r.name,
                     self._pools.distance(r),
-                    self.backlog(r).on_time_s,
+                    self.backlog(r).on_time_s(priority),
                     remote_bytes(r.zone),
                     space_bytes(r.name) / room_bytes if room_bytes else 0.0,
                 )
@@ -190,18 +194,17 @@
         queue = self._queues.get(record.name)
         if queue is not None and self._owner(record) is None:
             return queue.backlog()
-        on_time_s = total_s = 0.0
         told = self._told.get(record.name)
+        ahead_s = (0.0,) * URGENCY_LEVELS
         if told is not None:
-            age_s = self._clock.monotonic() - told.at
-            on_time_s = max(0.0, told.backlog.on_time_s - age_s)
-            total_s = max(0.0, told.backlog.total_s - age_s)
+            ahead_s = told.backlog.after(self._clock.monotonic() - told.at).ahead_s
         spec = self.spec(record.service)
-        if spec is not None:
-            call_s = spec.call_s + spec.batch * spec.piece_s
-            own_s = self._outstanding[record.name] / spec.batch * call_s
-            on_time_s, total_s = max(on_time_s, own_s), max(total_s, own_s)
-        return Backlog(on_time_s, total_s)
+        own = self._outstanding.get(record.name)
+        if spec is None or own is None:
+            return Backlog(ahead_s)
+        piece_s = (spec.call_s + spec.batch * spec.piece_s) / spec.batch
+        own_s = (pieces * piece_s for pieces in accumulate(own))
+        return Backlog(tuple(map(max, ahead_s, own_s)))
 
     def group_size(self, service: str, result_bytes: int) -> int:
         """Return how many pieces of one request one endpoint should make."""
@@ -220,7 +223,8 @@
             self._queue(record).submit(pieces)
             return
         # Counted before the task runs, for the choice of the next pieces' endpoint.
-        self._outstanding[record.name] += len(pieces)
+        own = self._outstanding.setdefault(record.name, [0] * URGENCY_LEVELS)
+        own[urgency_level(pieces[0].priority, is_late=False)] += len(pieces)
         gevent.spawn(self._ask, owner, record, pieces)
 
     def cancel(self, endpoint: str, request_id: str) -> None:
@@ -313,13 +317,14 @@
             if isinstance(accepted, NoReply):
                 self._without_owner(owner, record, pieces, now)
                 return
-            self._take_backlog(
-                record.name, Backlog(accepted.on_time_s, accepted.total_s)
-            )
+            self._take_backlog(record.name, Backlog(accepted.ahead_s))
             news = self._await(made, owner, first.limit_at)
         finally:
             del self._tickets_open[ticket]
-            self._outstanding[record.name] -= len(pieces)
+            own = self._outstanding[record.name]
+            own[urgency_level(first.priority, is_late=False)] -= len(pieces)
+            if not any(own):
+                del self._outstanding[record.name]
         if news is None or len(news.handles) != len(pieces):
             self._without_owner(owner, record, pieces, now)
             return
@@ -385,7 +390,7 @@
         ]
         queue = self._queue(record)
         backlog = queue.backlog()
-        accepted = MakeAccepted(backlog.on_time_s, backlog.total_s)
+        accepted = MakeAccepted(backlog.ahead_s)
         queue.submit(pieces)
         gevent.spawn(self._send_results, sender, request, pieces, queue)
         return accepted
@@ -406,8 +411,7 @@
             request.endpoint,
             handles,
             reasons,
-            backlog.on_time_s,
-            backlog.total_s,
+            backlog.ahead_s,
         )
         known = self._fleet.view.get(sender)
         if known is None or known.member is None:
@@ -416,7 +420,7 @@
         self._bus.tell(known.member.peer_address, news)
 
     def _handle_made(self, sender: str, news: MadeNews) -> None:
-        self._take_backlog(news.endpoint, Backlog(news.on_time_s, news.total_s))
+        self._take_backlog(news.endpoint, Backlog(news.ahead_s))
         made = self._tickets_open.get(news.ticket)
         if made is not None:
             made.set(news)
--- a/libs/gateway/sapphirehoist/gateway/stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_queue.py
@@ -5,13 +5,19 @@
 import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from itertools import count
+from itertools import accumulate, count
 
 import gevent
 from gevent.event import Event
 
 from sapphirehoist.clock import Clock
-from sapphirehoist.decisions import BatchPolicy, QueuedPiece, SharedRetryBudget
+from sapphirehoist.decisions import (
+    URGENCY_LEVELS,
+    BatchPolicy,
+    QueuedPiece,
+    SharedRetryBudget,
+    urgency_level,
+)
 from sapphirehoist.discovery import EndpointRecord
 from sapphirehoist.gateway.dialect import (
     BadCall,
@@ -146,17 +152,21 @@
         """Return the estimated times until a new piece would be begun."""
         spec = self._spec()
         if spec is None:
-            return Backlog(0.0, 0.0)
+            return Backlog((0.0,))
         now = self._parts.clock.monotonic()
         call_s = spec.call_s + spec.batch * spec.piece_s
         under_way_s = max(0.0, self._call_ends_at - now)
         under_way_s += self._parts.pools.loads.ejected_for_s(self.record.name)
-        on_time = sum(
-            1 for p in self._pieces.values() if p.is_committed or p.due_at >= now
-        )
+        waiting = [0] * URGENCY_LEVELS
+        for piece in self._pieces.values():
+            is_late = piece.due_at < now
+            level = urgency_level(piece.priority, is_late)
+            waiting[0 if piece.is_committed else level] += 1
         return Backlog(
-            under_way_s + on_time / spec.batch * call_s,
-            under_way_s + len(self._pieces) / spec.batch * call_s,
+            tuple(
+                under_way_s + ahead / spec.batch * call_s
+                for ahead in accumulate(waiting)
+            )
         )
 
     def fail_all(self, reason: str) -> None:
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -16,7 +16,6 @@
     REASON_GONE,
     REASON_LATE,
     REASON_LOST,
-    Backlog,
     Piece,
 )
 from sapphirehoist.gateway.stage_pools import StagePools
@@ -54,7 +53,7 @@
     on_time_s : float
         If the request is served before those that miss their target.
     total_s : float
-        If it is served after all that wait now.
+        If it is served after them, as one that misses its target itself.
     """
 
     on_time_s: float
@@ -238,9 +237,9 @@
         """Return when the request would begin to be answered, by what waits now."""
         on_time_s = total_s = _FIRST_TOKEN_S
         for height in set(self._heights):
-            level = [self._stage_backlog(s) for s in self._level(height)]
-            on_time_s += max((backlog.on_time_s for backlog in level), default=0.0)
-            total_s += max((backlog.total_s for backlog in level), default=0.0)
+            level = [self._stage_forecast(s) for s in self._level(height)]
+            on_time_s += max((stage.on_time_s for stage in level), default=0.0)
+            total_s += max((stage.total_s for stage in level), default=0.0)
         return Forecast(on_time_s, total_s)
 
     def _level(self, height: int) -> list[int]:
@@ -251,19 +250,24 @@
             if own == height and not self._is_done(stage)
         ]
 
-    def _stage_backlog(self, stage: int) -> Backlog:
+    def _stage_forecast(self, stage: int) -> Forecast:
+        """Return the time from the start of a stage to its end."""
         spec = self._route.stages[stage]
         pieces = self._counts[stage]
         record = self._pools.choose(
             spec.service,
             self._remote_bytes(stage, pieces),
             self._space_bytes(stage, 0),
+            self._priority,
         )
         call_s = self._call_s(stage)
         if record is None:
-            return Backlog(call_s, call_s)
+            return Forecast(call_s, call_s)
         backlog = self._pools.backlog(record)
-        return Backlog(backlog.on_time_s + call_s, backlog.total_s + call_s)
+        return Forecast(
+            backlog.on_time_s(self._priority) + call_s,
+            backlog.late_s(self._priority) + call_s,
+        )
 
     def _is_committed(self) -> bool:
         """Return whether results of this request take up much of some space."""
@@ -370,7 +374,7 @@
         ready = [s for s in pending if self._heights[s] == highest and s not in started]
         if len(ready) > 1:
             now = self._clock.monotonic()
-            times = {s: self._stage_backlog(s).on_time_s for s in ready}
+            times = {s: self._stage_forecast(s).on_time_s for s in ready}
             longest = max(times.values())
             self._start_at |= {s: now + longest - t for s, t in times.items()}
             return self._start_due()
@@ -406,6 +410,7 @@
                 spec.service,
                 self._remote_bytes(stage, len(group)),
                 self._space_bytes(stage, len(group)),
+                self._priority,
                 avoid,
             )
             if record is None:
--- a/libs/gateway/sapphirehoist/gateway/tests/test_stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/tests/test_stage_queue.py
@@ -63,9 +63,24 @@
         self, queue: EndpointQueue, clock: ManualClock
     ) -> None:
         loads = queue._parts.pools.loads
-        assert queue.backlog().on_time_s == 0.0
+        assert queue.backlog().on_time_s(0) == 0.0
         for _ in range(3):
             loads.fail(NAME, POOL)
-        assert queue.backlog().on_time_s == pytest.approx(2.0)
+        assert queue.backlog().on_time_s(0) == pytest.approx(2.0)
         clock.advance(1.5)
-        assert queue.backlog().on_time_s == pytest.approx(0.5)
+        assert queue.backlog().on_time_s(0) == pytest.approx(0.5)
+
+    def test_what_is_less_urgent_is_not_ahead(self, queue: EndpointQueue) -> None:
+        queue.submit([piece(f"request-{i}", priority=2) for i in range(8)])
+        backlog = queue.backlog()
+        assert backlog.on_time_s(0) == backlog.on_time_s(1) == 0.0
+        assert backlog.on_time_s(2) == pytest.approx(8 / 4 * SPEC.call_s)
+
+    def test_what_is_late_counts_with_the_next_rank(
+        self, queue: EndpointQueue, clock: ManualClock
+    ) -> None:
+        queue.submit([piece("request-1")])
+        clock.advance(6.0)
+        backlog = queue.backlog()
+        assert backlog.on_time_s(0) == 0.0
+        assert backlog.late_s(0) == backlog.on_time_s(1) == pytest.approx(0.05)
