Start without the store: seeds, and the first state from a peer

Machines that were restarted or added while the store was busy had no configuration, found no peer, as peers are found in the store, and still offered themselves to callers, since a node counted itself as serving from its start. They were owners of endpoints as well, with no pool to make pieces for. Ruled out: peers that had lost the configuration; they served. Change: a node is announced as serving only once it has a configuration and endpoints; until then it offers others to callers, or answers 503 so that they ask another node. A node that finds peers asks one who serves.

--- a/libs/discovery/sapphirehoist/discovery/directory.py
+++ b/libs/discovery/sapphirehoist/discovery/directory.py
@@ -55,6 +55,7 @@
         "_by_service",
         "_clock",
         "_departed",
+        "_is_known",
         "_lapsed",
         "_listeners",
         "_metrics",
@@ -68,6 +69,7 @@
         self._by_service: dict[str, list[EndpointRecord]] = {}
         self._departed: dict[tuple[str, int], tuple[EndpointPhase, float]] = {}
         self._lapsed: dict[str, float] = {}
+        self._is_known = False
         self._listeners: list[Callable[[Departure, EndpointRecord], None]] = []
 
     def on_departure(
@@ -76,6 +78,11 @@
         """Call `listener` when an endpoint begins to drain or is gone."""
         self._listeners.append(listener)
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the whole table was read, here or by a peer."""
+        return self._is_known
+
     def get(self, name: str) -> EndpointRecord | None:
         """Return the endpoint `name`, draining or not."""
         return self._records.get(name)
@@ -92,6 +99,7 @@
         self, records: Iterable[EndpointRecord], is_after_outage: bool
     ) -> None:
         """Take the whole table; what is missing has lapsed or is gone."""
+        self._is_known = True
         found = {record.name: record for record in records}
         for name in [name for name in self._records if name not in found]:
             if is_after_outage:
@@ -101,7 +109,15 @@
         for record in found.values():
             self.take(record)
 
-    def take(self, record: EndpointRecord) -> None:
+    def take_first(self, records: Iterable[EndpointRecord], source: str) -> None:
+        """Take what a peer knows, as long as the table could not be read."""
+        if self._is_known:
+            return
+        self._is_known = True
+        for record in records:
+            self.take(record, source)
+
+    def take(self, record: EndpointRecord, source: str = "table") -> None:
         """Take one entry of the table."""
         self._lapsed.pop(record.name, None)
         known = self._records.get(record.name)
@@ -115,9 +131,9 @@
         self._records[record.name] = record
         self._index()
         if known is None or known.born_ms != record.born_ms:
-            self._log_change(record, "new", "table")
+            self._log_change(record, "new", source)
         elif (known.phase, known.service) != (record.phase, record.service):
-            self._log_change(record, record.phase.value, "table")
+            self._log_change(record, record.phase.value, source)
         was_draining = known is not None and known.phase is EndpointPhase.DRAINING
         if record.phase is EndpointPhase.DRAINING and not was_draining:
             self._tell(record, EndpointPhase.DRAINING)
--- a/libs/gateway/sapphirehoist/gateway/fleet_link.py
+++ b/libs/gateway/sapphirehoist/gateway/fleet_link.py
@@ -124,13 +124,14 @@
         for _ in range(_ASK_TRIES):
             if news.version <= self._holder.version or member is None:
                 return
-            self._ask(member)
+            self.fetch(member)
 
     def _reconcile(self, member: Member, theirs: int) -> None:
         if theirs > self._holder.version:
-            self._ask(member)
+            self.fetch(member)
 
-    def _ask(self, member: Member) -> None:
+    def fetch(self, member: Member) -> None:
+        """Take the configuration of `member` if it is newer."""
         reply = self._bus.ask(
             member.peer_address,
             DocumentRequest(self._holder.version),
--- a/libs/gateway/sapphirehoist/gateway/meeting.py
+++ b/libs/gateway/sapphirehoist/gateway/meeting.py
@@ -1,9 +1,15 @@
-"""How nodes find each other: each writes its own row, and reads all rows."""
+"""How nodes find each other: each writes its own row, and reads all rows.
+
+A node that starts while the store is away asks seeds, nodes that its settings name.
+Seeds may be gone, so nothing relies on them.
+"""
 
 from __future__ import annotations
 
 import logging
 
+import gevent
+
 from sapphirehoist.clock import Clock
 from sapphirehoist.membership import Fleet, Member, MemberNews, Status
 from sapphirehoist.messages import Malformed, decode_json, encode_json
@@ -33,14 +39,27 @@
         The platform's table.
     clock : Clock
         Paces reads.
+    seeds : tuple of str
+        Addresses at which other nodes may be.
     """
 
-    __slots__ = ("_clock", "_dead_reads", "_fleet", "_is_written", "_reads", "_table")
+    __slots__ = (
+        "_clock",
+        "_dead_reads",
+        "_fleet",
+        "_is_written",
+        "_reads",
+        "_seeds",
+        "_table",
+    )
 
-    def __init__(self, fleet: Fleet, table: TableService, clock: Clock) -> None:
+    def __init__(
+        self, fleet: Fleet, table: TableService, clock: Clock, seeds: tuple[str, ...]
+    ) -> None:
         self._fleet = fleet
         self._table = table
         self._clock = clock
+        self._seeds = seeds
         self._is_written = False
         self._reads = 0
         self._dead_reads: dict[tuple[str, int], int] = {}
@@ -56,6 +75,8 @@
 
     def step(self) -> None:
         """Write this node's row if that is not known to be done, and read all rows."""
+        if not self._fleet.others():
+            self._meet_seeds()
         member = self._fleet.member
         key = _PREFIX + member.vm
         if not self._is_written:
@@ -74,22 +95,51 @@
         """Remove this node's row."""
         self._table.transact([], [Write(_PREFIX + self._fleet.member.vm, None)])
 
+    def _meet_seeds(self) -> None:
+        """Ask all seeds; those that do not answer must not keep it from the store."""
+        for seed in self._seeds:
+            if seed != self._fleet.member.peer_address:
+                gevent.spawn(self._meet_seed, seed)
+
+    def _meet_seed(self, address: str) -> None:
+        if not self._fleet.meet(address):
+            return
+        _logger.info(
+            "seed answered",
+            extra={"seed": address, "peers": len(self._fleet.others())},
+        )
+        self._fleet.announce()
+
     def _meet(self, members: list[Member]) -> None:
-        is_any_new = False
+        found: list[Member] = []
         for member in members:
             if member.vm == self._fleet.member.vm:
                 continue
             if self._is_long_dead(member):
                 self._table.transact([], [Write(_PREFIX + member.vm, None)])
                 continue
+            # Whether it serves yet, the node itself says.
             news = MemberNews(
-                member.vm, member.incarnation, 0, Status.ALIVE, False, member
+                member.vm,
+                member.incarnation,
+                0,
+                Status.ALIVE,
+                member=member,
+                is_starting=True,
             )
-            is_any_new |= self._fleet.view.merge(news)
-        if is_any_new:
+            if self._fleet.view.merge(news):
+                found.append(member)
+        if found:
             _logger.info("peers found", extra={"peers": len(self._fleet.others())})
             self._fleet.forget_neighbours()
             self._fleet.announce()
+            gevent.spawn(self._ask_who_serves, found)
+
+    def _ask_who_serves(self, found: list[Member]) -> None:
+        """Ask one of the nodes that were found; heartbeats would tell it later."""
+        for member in found:
+            if self._fleet.meet(member.peer_address):
+                return
 
     def _is_long_dead(self, member: Member) -> bool:
         known = self._fleet.view.get(member.vm)
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -27,6 +27,7 @@
 from sapphirehoist.gateway.addresses import NodeAddresses
 from sapphirehoist.gateway.dialect import CallDialect
 from sapphirehoist.gateway.dispatch import Dispatcher
+from sapphirehoist.gateway.first_state import FirstState
 from sapphirehoist.gateway.fleet_link import FleetLink
 from sapphirehoist.gateway.handler import RequestHandler
 from sapphirehoist.gateway.meeting import MeetingPlace
@@ -91,6 +92,8 @@
         Time that a planned stop may take.
     repeat_ratio, repeat_allowance, repeat_window_s : float
         Budget of repeats that all nodes share.
+    seeds : tuple of str
+        Peer addresses at which other nodes may be; some may be gone.
     """
 
     vm: str
@@ -104,6 +107,7 @@
     repeat_ratio: float
     repeat_allowance: float
     repeat_window_s: float
+    seeds: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +157,7 @@
             self._configs.run,
             self._endpoints.run,
             self._meeting.run,
+            self._first_state.run,
             self._detector.run,
             self._stages.run,
             self._prompts.run,
@@ -163,7 +168,7 @@
 
     def is_ready(self) -> bool:
         """Return whether new callers may be sent here."""
-        return self.holder.table is not None and not self.is_stopping
+        return self._first_state.is_complete and not self.is_stopping
 
     def change_settings(self, settings: GatewaySettings) -> None:
         """Take over what can change in a running node; log the rest."""
@@ -237,8 +242,10 @@
             settings.peer_address,
             settings.caller_address,
         )
-        self.fleet = Fleet(member, self._bus, self.metrics, self.timeline)
-        self._link = FleetLink(
+        self.fleet = Fleet(
+            member, self._bus, self.metrics, self.timeline, is_starting=True
+        )
+        link = FleetLink(
             self.fleet,
             self._bus,
             self.holder,
@@ -246,6 +253,9 @@
             parts.decode_config,
             parts.clock,
         )
+        self._first_state = FirstState(
+            self.fleet, self._bus, link, self.holder, self.directory, parts.clock
+        )
         self._detector = FailureDetector(
             self.fleet,
             self._bus,
@@ -254,7 +264,9 @@
             self.metrics,
             _DETECTOR_TIMES,
         )
-        self._meeting = MeetingPlace(self.fleet, parts.table, parts.clock)
+        self._meeting = MeetingPlace(
+            self.fleet, parts.table, parts.clock, settings.seeds
+        )
         self.addresses = NodeAddresses(self.fleet, parts.random)
 
     def _build_followers(self) -> None:
--- a/libs/membership/sapphirehoist/membership/detector.py
+++ b/libs/membership/sapphirehoist/membership/detector.py
@@ -217,4 +217,11 @@
 
 
 def _with_status(news: MemberNews, status: Status) -> MemberNews:
-    return MemberNews(news.vm, news.incarnation, news.counter, status, news.is_leaving)
+    return MemberNews(
+        news.vm,
+        news.incarnation,
+        news.counter,
+        status,
+        news.is_leaving,
+        is_starting=news.is_starting,
+    )
--- a/libs/membership/sapphirehoist/membership/fleet.py
+++ b/libs/membership/sapphirehoist/membership/fleet.py
@@ -57,6 +57,8 @@
         Takes the counters ``fleet_*_total``.
     timeline : Timeline
         Takes changes of status.
+    is_starting : bool
+        Whether this node cannot serve until it says so.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "_counter",
         "_digests",
         "_is_leaving",
+        "_is_starting",
         "_listeners",
         "_metrics",
         "_neighbours",
@@ -74,7 +77,12 @@
     )
 
     def __init__(
-        self, member: Member, bus: PeerBus, metrics: Metrics, timeline: Timeline
+        self,
+        member: Member,
+        bus: PeerBus,
+        metrics: Metrics,
+        timeline: Timeline,
+        is_starting: bool = False,
     ) -> None:
         self.member = member
         self.view = MemberView()
@@ -83,6 +91,7 @@
         self._timeline = timeline
         self._counter = 0
         self._is_leaving = False
+        self._is_starting = is_starting
         self._digests: list[Digest] = []
         self._listeners: list[Callable[[MemberNews], None]] = []
         self._neighbours: list[Member] | None = None
@@ -101,12 +110,19 @@
             Status.ALIVE,
             self._is_leaving,
             self.member,
+            self._is_starting,
         )
 
     def announce(self) -> None:
         """Tell the fleet that this node is alive."""
         self.publish(self.news_of_self())
 
+    def announce_serving(self) -> None:
+        """Tell the fleet that callers may be sent to this node."""
+        self._is_starting = False
+        self._counter += 1
+        self.learn(self.news_of_self())
+
     def announce_leaving(self) -> None:
         """Tell the fleet that this node will stop."""
         self._is_leaving = True
@@ -138,7 +154,19 @@
     def is_serving(self, vm: str) -> bool:
         """Return whether new callers may be sent to `vm`."""
         news = self.view.get(vm)
-        return news is not None and news.status is Status.ALIVE and not news.is_leaving
+        if news is None or news.status is not Status.ALIVE:
+            return False
+        return not (news.is_leaving or news.is_starting)
+
+    def meet(self, address: str) -> bool:
+        """Take the view of the daemon at `address`; return whether it answered."""
+        request = ViewRequest(self.view.bucket_digests())
+        reply = self._bus.ask(address, request, ViewReply, _VIEW_TIMEOUT_S)
+        if isinstance(reply, NoReply):
+            return False
+        for news in reply.news:
+            self.learn(news)
+        return True
 
     def neighbours(self) -> list[Member]:
         """Return the members that this node sends heartbeats and news to."""
@@ -246,12 +274,7 @@
             self._bus.forget(news.member.peer_address)
 
     def _reconcile_view(self, member: Member, theirs: int) -> None:
-        request = ViewRequest(self.view.bucket_digests())
-        reply = self._bus.ask(member.peer_address, request, ViewReply, _VIEW_TIMEOUT_S)
-        if isinstance(reply, NoReply):
-            return
-        for news in reply.news:
-            self.learn(news)
+        self.meet(member.peer_address)
 
     def _handle_view_request(self, sender: str, request: ViewRequest) -> ViewReply:
         mine = self.view.bucket_digests()
--- a/libs/membership/sapphirehoist/membership/member.py
+++ b/libs/membership/sapphirehoist/membership/member.py
@@ -60,6 +60,8 @@
         Whether the member announced a planned stop.
     member : Member or None
         Facts about the member, absent where receivers know them already.
+    is_starting : bool
+        Whether the member cannot serve yet.
     """
 
     KIND: ClassVar[str] = "membership.news"
@@ -70,6 +72,7 @@
     status: Status
     is_leaving: bool = False
     member: Member | None = None
+    is_starting: bool = False
 
     def precedence(self) -> tuple[int, bool, int, Status, bool]:
         """Return the key by which newer news overrides older news."""
--- a/libs/membership/sapphirehoist/membership/view.py
+++ b/libs/membership/sapphirehoist/membership/view.py
@@ -52,6 +52,7 @@
             news.status,
             news.is_leaving,
             member,
+            news.is_starting,
         )
         self._toggle(known)
         self._news[news.vm] = merged
