--- a/libs/gateway/sapphirehoist/gateway/stage_pools.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_pools.py
@@ -10,20 +10,17 @@
 
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from itertools import accumulate, count
+from itertools import count
 
 import gevent
 from gevent.event import AsyncResult
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import (
-    URGENCY_LEVELS,
     Distance,
     StageEndpoint,
     StageEndpointPolicy,
     rendezvous_score,
-    urgency_level,
 )
 from sapphirehoist.discovery import (
     Departure,
@@ -39,6 +36,7 @@
     Piece,
 )
 from sapphirehoist.gateway.pools import EndpointPools
+from sapphirehoist.gateway.remote_backlogs import RemoteBacklogs
 from sapphirehoist.gateway.stage_messages import (
     CancelNews,
     CommitNews,
@@ -63,14 +61,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class _Told:
-    """What an owner told of its endpoint's backlog, and when."""
-
-    backlog: Backlog
-    at: float
-
-
 class StagePools:
     """Has pieces made, by this node's queues or by other owners.
 
@@ -94,15 +84,14 @@
         "_clock",
         "_directory",
         "_fleet",
-        "_outstanding",
         "_parts",
         "_pools",
         "_queues",
         "_releases",
+        "_remote",
         "_table",
         "_tickets",
         "_tickets_open",
-        "_told",
     )
 
     def __init__(
@@ -123,8 +112,7 @@
         self._clock: Clock = parts.clock
         self._pools: EndpointPools = parts.pools
         self._queues: dict[str, EndpointQueue] = {}
-        self._told: dict[str, _Told] = {}
-        self._outstanding: dict[str, list[int]] = {}
+        self._remote = RemoteBacklogs(parts.clock)
         self._releases = ResultReleases(
             bus, directory, self._owner, self._queues.get, parts
         )
@@ -194,17 +182,7 @@
         queue = self._queues.get(record.name)
         if queue is not None and self._owner(record) is None:
             return queue.backlog()
-        told = self._told.get(record.name)
-        ahead_s = (0.0,) * URGENCY_LEVELS
-        if told is not None:
-            ahead_s = told.backlog.after(self._clock.monotonic() - told.at).ahead_s
-        spec = self.spec(record.service)
-        own = self._outstanding.get(record.name)
-        if spec is None or own is None:
-            return Backlog(ahead_s)
-        piece_s = (spec.call_s + spec.batch * spec.piece_s) / spec.batch
-        own_s = (pieces * piece_s for pieces in accumulate(own))
-        return Backlog(tuple(map(max, ahead_s, own_s)))
+        return self._remote.estimate(record.name, self.spec(record.service))
 
     def group_size(self, service: str, result_bytes: int) -> int:
         """Return how many pieces of one request one endpoint should make."""
@@ -223,8 +201,7 @@
             self._queue(record).submit(pieces)
             return
         # Counted before the task runs, for the choice of the next pieces' endpoint.
-        own = self._outstanding.setdefault(record.name, [0] * URGENCY_LEVELS)
-        own[urgency_level(pieces[0].priority, is_late=False)] += len(pieces)
+        self._remote.begin(record.name, pieces[0].priority, len(pieces))
         gevent.spawn(self._ask, owner, record, pieces)
 
     def cancel(self, endpoint: str, request_id: str) -> None:
@@ -317,14 +294,11 @@
             if isinstance(accepted, NoReply):
                 self._without_owner(owner, record, pieces, now)
                 return
-            self._take_backlog(record.name, Backlog(accepted.ahead_s))
+            self._remote.take(record.name, Backlog(accepted.ahead_s))
             news = self._await(made, owner, first.limit_at)
         finally:
             del self._tickets_open[ticket]
-            own = self._outstanding[record.name]
-            own[urgency_level(first.priority, is_late=False)] -= len(pieces)
-            if not any(own):
-                del self._outstanding[record.name]
+            self._remote.end(record.name, first.priority, len(pieces))
         if news is None or len(news.handles) != len(pieces):
             self._without_owner(owner, record, pieces, now)
             return
@@ -342,9 +316,6 @@
                 return None
         return made.get()
 
-    def _take_backlog(self, endpoint: str, backlog: Backlog) -> None:
-        self._told[endpoint] = _Told(backlog, self._clock.monotonic())
-
     def _without_owner(
         self,
         owner: Member,
@@ -420,7 +391,7 @@
         self._bus.tell(known.member.peer_address, news)
 
     def _handle_made(self, sender: str, news: MadeNews) -> None:
-        self._take_backlog(news.endpoint, Backlog(news.ahead_s))
+        self._remote.take(news.endpoint, Backlog(news.ahead_s))
         made = self._tickets_open.get(news.ticket)
         if made is not None:
             made.set(news)
@@ -442,7 +413,7 @@
     def _on_departure(self, departure: Departure, record: EndpointRecord) -> None:
         """Let waiting pieces go elsewhere when their endpoint leaves."""
         if departure.phase is EndpointPhase.GONE:
-            self._told.pop(record.name, None)
+            self._remote.forget(record.name)
             self._pools.loads.forget(record.name)
         queue = self._queues.get(record.name)
         if queue is None:
