Ask seeds only where the store has not named nodes, and a neighbour who serves

Cause, found by reading: a whole fleet that starts asked its three seeds for all they know, and every node the first one by name who serves. With 86 nodes that is 1.4 MB from one node, over a second on a link of 5 Mbit/s. Change: seeds are asked 0.3 s after the start, if no node is known by then; a node that found others asks a neighbour on its ring, and each node has other ones.

--- a/libs/gateway/sapphirehoist/gateway/meeting.py
+++ b/libs/gateway/sapphirehoist/gateway/meeting.py
@@ -22,6 +22,8 @@
 # Later the nodes of a large fleet share the reads; joiners announce themselves.
 _LATER_READS_S = 8.0
 _LATER_READS_PER_NODE_S = 2.0
+# A store that works has answered by then.
+_OWN_READ_S = 0.3
 # A row of a node that has been dead for so many reads is removed.
 _DEAD_READS = 3
 
@@ -76,7 +78,7 @@
     def step(self) -> None:
         """Write this node's row if that is not known to be done, and read all rows."""
         if not self._fleet.others():
-            self._meet_seeds()
+            gevent.spawn(self._meet_seeds)
         member = self._fleet.member
         key = _PREFIX + member.vm
         if not self._is_written:
@@ -96,7 +98,13 @@
         self._table.transact([], [Write(_PREFIX + self._fleet.member.vm, None)])
 
     def _meet_seeds(self) -> None:
-        """Ask all seeds; those that do not answer must not keep it from the store."""
+        """Ask all seeds at once, unless the store has named nodes meanwhile.
+
+        A whole fleet that starts would else ask its few seeds for everything they know.
+        """
+        self._clock.sleep(_OWN_READ_S)
+        if self._fleet.others():
+            return
         for seed in self._seeds:
             if seed != self._fleet.member.peer_address:
                 gevent.spawn(self._meet_seed, seed)
@@ -111,7 +119,7 @@
         self._fleet.announce()
 
     def _meet(self, members: list[Member]) -> None:
-        found: list[Member] = []
+        is_any_new = False
         for member in members:
             if member.vm == self._fleet.member.vm:
                 continue
@@ -127,17 +135,16 @@
                 member=member,
                 is_starting=True,
             )
-            if self._fleet.view.merge(news):
-                found.append(member)
-        if found:
+            is_any_new |= self._fleet.view.merge(news)
+        if is_any_new:
             _logger.info("peers found", extra={"peers": len(self._fleet.others())})
             self._fleet.forget_neighbours()
             self._fleet.announce()
-            gevent.spawn(self._ask_who_serves, found)
+            gevent.spawn(self._ask_who_serves)
 
-    def _ask_who_serves(self, found: list[Member]) -> None:
-        """Ask one of the nodes that were found; heartbeats would tell it later."""
-        for member in found:
+    def _ask_who_serves(self) -> None:
+        """Ask a neighbour, as each node has others; heartbeats would tell it later."""
+        for member in self._fleet.neighbours():
             if self._fleet.meet(member.peer_address):
                 return
 
