Soak the real programs under faults from outside

Change: soak/ starts daemons as processes, each on a loopback address of its own and with a proxy of its own to the store; it plays the store and eight endpoints, of which some refuse and some lose answers; callers keep connections. The first run of it left daemons behind, as closing a link failed first; processes end first now. Not covered yet: links between nodes and to endpoints, clocks.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,14 @@
 BIN := $(VENV)/bin
 LIBS := $(wildcard libs/*) platform
 CASE ?= all
+SEEDS ?= 1,2,3
+SECONDS ?= 20
+NODES ?= 4
 # Each test over processes starts up to ten; two fail at times beside other suites.
 JOBS ?= 1
 SUITES := $(addprefix suite/,libs platform $(sort $(wildcard tests/test_*.py)))
 
-.PHONY: setup demo demo-platform test lint format bench slopes $(SUITES)
+.PHONY: setup demo demo-platform test lint format bench slopes soak $(SUITES)
 
 setup: $(VENV)/.done
 
@@ -32,7 +35,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy libs platform tools bench
+	$(BIN)/mypy libs platform tools bench soak
 
 format: setup
 	$(BIN)/ruff format .
@@ -41,5 +44,8 @@
 bench: setup
 	$(BIN)/python bench/run.py --case=$(CASE)
 
+soak: setup
+	$(BIN)/python soak/play.py --seeds=$(SEEDS) --seconds=$(SECONDS) --nodes=$(NODES)
+
 slopes: setup
 	$(BIN)/python bench/slopes.py
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,74 @@
+"""Callers that keep connections open, and tell the witness what they got."""
+
+from __future__ import annotations
+
+from itertools import count
+from random import Random
+
+import gevent
+import urllib3
+from fleet import EVENTS, SoakFleet, body_of
+from promises import Answer, Kind
+
+from sapphirehoist.adapter.tests.standins import caller_headers, event
+
+_DEADLINE_S = 4.0
+# Longer than any deadline, so that an answer that never comes is seen as such.
+_PATIENCE_S = 8.0
+_PAUSE_S = 0.02
+_BLOCK_BYTES = 4_096
+
+
+class Callers:
+    """Asks one request after the other, on connections that are kept.
+
+    Parameters
+    ----------
+    fleet : SoakFleet
+        Who is asked, and who witnesses.
+    random : Random
+        Chooses kinds and nodes.
+    """
+
+    __slots__ = ("_fleet", "_numbers", "_random", "is_over")
+
+    def __init__(self, fleet: SoakFleet, random: Random) -> None:
+        self._fleet = fleet
+        self._random = random
+        self._numbers = count(1)
+        self.is_over = False
+
+    def run(self) -> None:
+        """Ask until the soak is over."""
+        pool = urllib3.PoolManager(retries=False, timeout=_PATIENCE_S, maxsize=1)
+        while not self.is_over:
+            kind = self._random.choice(list(Kind))
+            daemon = self._random.choice(self._fleet.daemons)
+            self._fleet.witness.answered(self.ask(pool, daemon.caller_address, kind))
+            gevent.sleep(_PAUSE_S)
+
+    def ask(self, pool: urllib3.PoolManager, address: str, kind: Kind) -> Answer:
+        """Send one request to a node, and return what came back."""
+        request_id = f"{kind.value}-{next(self._numbers)}"
+        is_stream = kind in (Kind.ASK, Kind.PLAN)
+        expected = body_of(request_id)
+        if is_stream:
+            expected = b"".join(event(n + 1, request_id) for n in range(EVENTS))
+        self._fleet.witness.expect(request_id, expected)
+        status, body, is_whole = 0, b"", False
+        try:
+            resp = pool.request(
+                "POST" if kind is not Kind.READ else "GET",
+                f"http://{address}/{kind.value}/x",
+                headers=caller_headers(request_id, _DEADLINE_S),
+                preload_content=False,
+            )
+            status = resp.status
+            while block := resp.read1(_BLOCK_BYTES):
+                body += block
+            is_whole = True
+            resp.release_conn()
+        except (urllib3.exceptions.HTTPError, OSError):
+            # A broken connection promises nothing; what has arrived is checked.
+            is_whole = False
+        return Answer(request_id, kind, status, body, is_whole)
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,214 @@
+"""Daemons as processes, before a store and endpoints that this process plays."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import gevent
+from link import FaultyLink
+from promises import Witness
+
+from sapphirehoist.adapter.settings import SETTINGS_VARIABLE
+from sapphirehoist.adapter.tests.standins import (
+    STAGES,
+    Answer,
+    EndpointStandIn,
+    StoreStandIn,
+    config,
+    make_pieces,
+    refuse,
+    request_id_of,
+    route,
+    sealed,
+    stream,
+)
+from sapphirehoist.clock import SystemClock
+from sapphirehoist.http1 import CallerRequest, Exchange
+from sapphirehoist.testing import ManagedProcess, free_port
+
+EVENTS = 12
+_EVENT_PAUSE_S = 0.03
+_WORK_S = 0.02
+# Every so many requests an endpoint refuses one, or loses its answer.
+_REFUSES_EVERY = 23
+_LOSES_EVERY = 31
+_ROUTES = (
+    route("read", "idempotent", "plain"),
+    route("book", "non_idempotent", "plain", maxAttempts=2),
+    route("ask", "streaming", "model", streamResume=True),
+    route("plan", "streaming", "model", streamResume=True, stages=STAGES),
+)
+_SETTINGS = """
+nodeName = "{name}"
+ip = "{ip}"
+zone = "zone-a"
+region = "region-a"
+seedNodes = [{seeds}]
+[zones]
+zone-a = "region-a"
+[listen]
+front = "{ip}:{port}"
+ready = "{ip}:{ready}"
+directory = "{ip}:{directory}"
+control = "{ip}:{control}"
+[platform]
+address = "{store}"
+[bounds]
+graceS = 4
+"""
+
+
+def body_of(request_id: str) -> bytes:
+    """Return the body of a plain answer."""
+    return f"done {request_id}".encode()
+
+
+class Daemon:
+    """One node: a process on an address of its own, with its own link to the store.
+
+    Parameters
+    ----------
+    number : int
+        Number of the node; tells its loopback address.
+    folder : Path
+        Takes settings and logs.
+    store : str
+        Address of the store.
+    """
+
+    __slots__ = ("_folder", "_ports", "ip", "link", "name", "process", "started_at")
+
+    def __init__(self, number: int, folder: Path, store: str) -> None:
+        self.name = f"vm-{number}"
+        # All of 127/8 is loopback; each node has an address, as each VM does.
+        self.ip = f"127.0.0.{10 + number}"
+        self.link = FaultyLink(store)
+        self._folder = folder
+        self._ports = [free_port() for _ in range(4)]
+        self.process: ManagedProcess | None = None
+        self.started_at = 0.0
+
+    @property
+    def caller_address(self) -> str:
+        """Return where callers reach it."""
+        return f"{self.ip}:{self._ports[0]}"
+
+    @property
+    def peer_address(self) -> str:
+        """Return where other nodes reach it."""
+        return f"{self.ip}:{self._ports[3]}"
+
+    def start(self, seeds: list[str]) -> None:
+        """Start the process with the nodes at `seeds` as its seeds."""
+        port, ready, directory, control = self._ports
+        path = self._folder / f"{self.name}.toml"
+        text = _SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            seeds=", ".join(f'"{seed}"' for seed in seeds),
+            port=port,
+            ready=ready,
+            directory=directory,
+            control=control,
+            store=self.link.address,
+        )
+        path.write_text(text)
+        self.started_at = SystemClock().monotonic()
+        self.process = ManagedProcess(
+            "sapphirehoist.adapter.main",
+            [],
+            self._folder / f"{self.name}.log",
+            {SETTINGS_VARIABLE: str(path)},
+        )
+
+
+class SoakFleet:
+    """Everything that a soak starts, and ends by its ids.
+
+    Parameters
+    ----------
+    nodes : int
+        Number of daemons.
+    folder : Path
+        Takes settings and logs.
+    """
+
+    __slots__ = ("_requests", "daemons", "endpoints", "store", "version", "witness")
+
+    def __init__(self, nodes: int, folder: Path) -> None:
+        self.witness = Witness()
+        self._requests = 0
+        self.version = 0
+        self.store = StoreStandIn()
+        self.change_config()
+        self.endpoints = [
+            EndpointStandIn(f"{service}-{i}", service, self.store, answer).start()
+            for service, answer in (
+                ("plain", self._plain),
+                ("model", self._model),
+                ("encode", make_pieces),
+                ("rank", make_pieces),
+            )
+            for i in range(2)
+        ]
+        self.daemons = [Daemon(i, folder, self.store.address) for i in range(nodes)]
+        for daemon in self.daemons:
+            self.start(daemon)
+
+    def change_config(self) -> None:
+        """Put a new version in force, in uneven steps."""
+        self.version += 2
+        self.store.put("op", "config", config(self.version, *_ROUTES))
+
+    def start(self, daemon: Daemon) -> None:
+        """Start a daemon; it is told of two others."""
+        others = [d.peer_address for d in self.daemons if d is not daemon]
+        daemon.start(others[:2])
+
+    def close(self) -> None:
+        """End every process and listener."""
+        # Processes first: whatever fails after that, none is left behind.
+        for daemon in self.daemons:
+            if daemon.process is not None:
+                daemon.process.kill()
+        for daemon in self.daemons:
+            daemon.link.close()
+        for endpoint in self.endpoints:
+            endpoint.stop()
+        self.store.stop()
+
+    def _plain(
+        self, endpoint: EndpointStandIn, request: CallerRequest, ex: Exchange
+    ) -> None:
+        self._unless_refused(endpoint, request, ex, self._run_plain)
+
+    def _model(
+        self, endpoint: EndpointStandIn, request: CallerRequest, ex: Exchange
+    ) -> None:
+        request_id = request_id_of(request)
+        answer = stream(EVENTS, pause_s=_EVENT_PAUSE_S, text=request_id)
+        self._unless_refused(endpoint, request, ex, answer)
+
+    def _unless_refused(
+        self,
+        endpoint: EndpointStandIn,
+        request: CallerRequest,
+        ex: Exchange,
+        run: Answer | Callable[[EndpointStandIn, CallerRequest, Exchange], None],
+    ) -> None:
+        self._requests += 1
+        if self._requests % _REFUSES_EVERY == 0:
+            refuse(endpoint, request, ex)
+            return
+        self.witness.ran(request_id_of(request))
+        if self._requests % _LOSES_EVERY == 0:
+            ex.abort()
+            return
+        run(endpoint, request, ex)
+
+    def _run_plain(
+        self, endpoint: EndpointStandIn, request: CallerRequest, ex: Exchange
+    ) -> None:
+        gevent.sleep(_WORK_S)
+        ex.respond(sealed(endpoint, request), body_of(request_id_of(request)))
--- /dev/null
+++ b/soak/link.py
@@ -0,0 +1,105 @@
+"""A loopback proxy with delayed, silenced, cut and reset connections."""
+
+from __future__ import annotations
+
+import struct
+from enum import Enum
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+_BLOCK_BYTES = 65_536
+_POLL_S = 0.05
+# Closing with this option resets the connection.
+_RESET = struct.pack("ii", 1, 0)
+
+
+class Way(Enum):
+    """Direction in which bytes are held back."""
+
+    TO_SERVER = "to_server"
+    TO_CLIENT = "to_client"
+
+
+class FaultyLink:
+    """Relays connections to one address, with faults that can be set while it runs.
+
+    Parameters
+    ----------
+    target : str
+        ``IP:PORT`` that connections are relayed to.
+
+    Attributes
+    ----------
+    delay_s : float
+        Time by which each block of bytes is late.
+    silenced : set of Way
+        Directions in which bytes are held back until they are let go.
+    is_cut : bool
+        Whether new connections are refused.
+    """
+
+    __slots__ = ("_server", "_sockets", "_target", "delay_s", "is_cut", "silenced")
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._sockets: set[socket.socket] = set()
+        self.delay_s = 0.0
+        self.silenced: set[Way] = set()
+        self.is_cut = False
+        self._server = StreamServer(("127.0.0.1", 0), self._relay)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Return ``IP:PORT`` of the proxy."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for sock in [sock for sock in self._sockets if sock.fileno() >= 0]:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            sock.close()
+
+    def heal(self) -> None:
+        """End every fault."""
+        self.delay_s, self.is_cut = 0.0, False
+        self.silenced.clear()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.is_cut = True
+        self.reset()
+        self._server.stop(timeout=0)
+
+    def _relay(self, client: socket.socket, peer: tuple[str, int]) -> None:
+        if self.is_cut:
+            client.close()
+            return
+        try:
+            server = socket.create_connection(self._target)
+        except OSError:
+            client.close()
+            return
+        self._sockets.update({client, server})
+        pumps = [
+            gevent.spawn(self._pump, client, server, Way.TO_SERVER),
+            gevent.spawn(self._pump, server, client, Way.TO_CLIENT),
+        ]
+        gevent.joinall(pumps)
+        self._sockets.difference_update({client, server})
+
+    def _pump(self, source: socket.socket, target: socket.socket, way: Way) -> None:
+        try:
+            while data := source.recv(_BLOCK_BYTES):
+                gevent.sleep(self.delay_s)
+                while way in self.silenced:
+                    gevent.sleep(_POLL_S)
+                target.sendall(data)
+        except OSError:
+            # A reset or a close on either side ends both.
+            pass
+        for sock in (source, target):
+            sock.close()
--- /dev/null
+++ b/soak/play.py
@@ -0,0 +1,118 @@
+"""Soak: ``python soak/play.py --seeds=1,2,3 --seconds=20 --nodes=4``.
+
+Exit status 1 if a promise was broken; the folder of a seed that failed is kept.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import logging  # noqa: E402
+import shutil  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+from pathlib import Path  # noqa: E402
+from random import Random  # noqa: E402
+
+import fire  # noqa: E402
+import gevent  # noqa: E402
+import urllib3  # noqa: E402
+from callers import Callers  # noqa: E402
+from faults import Faults  # noqa: E402
+from fleet import SoakFleet  # noqa: E402
+from promises import Kind  # noqa: E402
+
+# From the end of the last fault, as the users' sites bound recovery.
+RECOVERY_S = 12.0
+_LOOK_S = 0.1
+_CALLERS = 6
+
+
+def soak(
+    seed: int, seconds: float, nodes: int, recovery_s: float, folder: Path
+) -> list[str]:
+    """Run one seed; return the promises that were broken."""
+    random = Random(seed)
+    fleet = SoakFleet(nodes, folder)
+    try:
+        callers = Callers(fleet, Random(seed + 1))
+        if not _all_serve(fleet, callers, recovery_s):
+            return ["not every node served after its start"]
+        tasks = [gevent.spawn(callers.run) for _ in range(_CALLERS)]
+        Faults(fleet, random).run(seconds)
+        is_recovered = _all_serve(fleet, callers, recovery_s)
+        callers.is_over = True
+        gevent.joinall(tasks, raise_error=True)
+        found = fleet.witness.broken_promises()
+        if not is_recovered:
+            found.append(f"not every node served {recovery_s} s after the last fault")
+        found += [
+            f"{d.name} ended by itself"
+            for d in fleet.daemons
+            if d.process is None or not d.process.is_running()
+        ]
+        logging.getLogger("soak").info(
+            "seed %d: statuses %s, %d served",
+            seed,
+            fleet.witness.statuses(),
+            fleet.witness.count_served(),
+        )
+        return found
+    finally:
+        fleet.close()
+
+
+def _all_serve(fleet: SoakFleet, callers: Callers, within_s: float) -> bool:
+    """Wait until each node has answered a request of each kind."""
+    pool = urllib3.PoolManager(retries=False, timeout=within_s)
+    with gevent.Timeout(within_s, False):
+        for daemon in fleet.daemons:
+            for kind in Kind:
+                while True:
+                    answer = callers.ask(pool, daemon.caller_address, kind)
+                    fleet.witness.answered(answer)
+                    if answer.status == 200 and answer.is_whole:
+                        break
+                    gevent.sleep(_LOOK_S)
+        return True
+    return False
+
+
+def main(
+    seeds: int | tuple[int, ...],
+    seconds: float = 20,
+    nodes: int = 4,
+    recovery_s: float = RECOVERY_S,
+) -> None:
+    """Run each seed and say what broke.
+
+    Parameters
+    ----------
+    seeds : comma-separated int
+        Which ones.
+    seconds : float
+        How long faults are brought.
+    nodes : int
+        Daemons of one fleet.
+    recovery_s : float
+        Time from the last fault until every node has to serve.
+    """
+    logging.basicConfig(level=logging.INFO, format="%(relativeCreated)6d %(message)s")
+    logging.getLogger("urllib3").setLevel(logging.ERROR)
+    is_broken = False
+    for seed in seeds if isinstance(seeds, tuple) else (seeds,):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        found = soak(seed, seconds, nodes, recovery_s, folder)
+        for line in found:
+            print(f"seed {seed}: {line}; logs in {folder}")
+        print(f"seed {seed}: {len(found)} broken")
+        is_broken |= bool(found)
+        if not found:
+            shutil.rmtree(folder)
+    sys.exit(1 if is_broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
