--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Callable
 from pathlib import Path
 
@@ -28,11 +29,16 @@
 from sapphirehoist.testing import ManagedProcess, free_port
 
 EVENTS = 12
+_FIRST_HOST = 10
+_SUBNETS = 250
 _EVENT_PAUSE_S = 0.03
 _WORK_S = 0.02
 # Every so many requests an endpoint refuses one, or loses its answer.
 _REFUSES_EVERY = 23
 _LOSES_EVERY = 31
+# Every so many streams an engine breaks off in the middle of an event.
+_BREAKS_EVERY = 7
+_BREAKS_AFTER = 4
 _ROUTES = (
     route("read", "idempotent", "plain"),
     route("book", "non_idempotent", "plain", maxAttempts=2),
@@ -59,6 +65,15 @@
 """
 
 
+def _subnet() -> str:
+    """Return loopback addresses of this process's own, as each VM has one.
+
+    Ports that are the same on all VMs clash with no other soak.
+    """
+    pid = os.getpid()
+    return f"127.{1 + pid % _SUBNETS}.{pid // _SUBNETS % _SUBNETS}"
+
+
 def body_of(request_id: str) -> bytes:
     """Return the body of a plain answer."""
     return f"done {request_id}".encode()
@@ -81,8 +96,7 @@
 
     def __init__(self, number: int, folder: Path, store: str) -> None:
         self.name = f"vm-{number}"
-        # All of 127/8 is loopback; each node has an address, as each VM does.
-        self.ip = f"127.0.0.{10 + number}"
+        self.ip = f"{_subnet()}.{_FIRST_HOST + number}"
         self.link = FaultyLink(store)
         self._folder = folder
         self._ports = [free_port() for _ in range(4)]
@@ -134,11 +148,20 @@
         Takes settings and logs.
     """
 
-    __slots__ = ("_requests", "daemons", "endpoints", "store", "version", "witness")
+    __slots__ = (
+        "_requests",
+        "_streams",
+        "daemons",
+        "endpoints",
+        "store",
+        "version",
+        "witness",
+    )
 
     def __init__(self, nodes: int, folder: Path) -> None:
         self.witness = Witness()
         self._requests = 0
+        self._streams = 0
         self.version = 0
         self.store = StoreStandIn()
         self.change_config()
@@ -187,7 +210,14 @@
         self, endpoint: EndpointStandIn, request: CallerRequest, ex: Exchange
     ) -> None:
         request_id = request_id_of(request)
-        answer = stream(EVENTS, pause_s=_EVENT_PAUSE_S, text=request_id)
+        self._streams += 1
+        is_broken = self._streams % _BREAKS_EVERY == 0
+        answer = stream(
+            EVENTS,
+            _BREAKS_AFTER if is_broken else None,
+            _EVENT_PAUSE_S,
+            request_id,
+        )
         self._unless_refused(endpoint, request, ex, answer)
 
     def _unless_refused(
