--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,11 +11,13 @@
 from link import Way
 
 from sapphirehoist.clock import SystemClock
+from sapphirehoist.testing import ManagedProcess
 
 # Every fault is over by itself after at most this long.
 _LONGEST_S = 2.5
 _STOP_S = 8.0
 _HANDLERS_S = 2.0
+_LOOK_S = 0.05
 
 _logger = logging.getLogger("soak")
 
@@ -29,20 +31,34 @@
         What is struck.
     random : Random
         Chooses faults, victims and times.
+
+    Attributes
+    ----------
+    found : list of str
+        Promises that were broken at a planned stop.
     """
 
-    __slots__ = ("_busy", "_fleet", "_kinds", "_random", "_tasks")
+    __slots__ = (
+        "_busy",
+        "_fleet",
+        "_kinds",
+        "_random",
+        "_signals",
+        "_tasks",
+        "found",
+    )
 
     def __init__(self, fleet: SoakFleet, random: Random) -> None:
         self._fleet = fleet
         self._random = random
         self._busy: set[str] = set()
         self._tasks: list[gevent.Greenlet] = []
+        self.found: list[str] = []
+        self._signals = (self._freeze, self._kill, self._stop, self._hang_up)
         self._kinds: tuple[Callable[[], None], ...] = (
-            self._freeze,
-            self._kill,
-            self._stop,
-            self._hang_up,
+            self._signal,
+            self._signal,
+            self._signal,
             self._store_down,
             self._link_delayed,
             self._link_silenced,
@@ -64,56 +80,45 @@
     def _pause(self) -> None:
         gevent.sleep(self._random.uniform(0.1, _LONGEST_S))
 
-    def _victim(self) -> Daemon | None:
-        """Return a daemon that no other signal is sent to meanwhile."""
+    def _signal(self) -> None:
+        self._on_a_daemon(self._random.choice(self._signals))
+
+    def _on_a_daemon(self, fault: Callable[[Daemon, ManagedProcess], None]) -> None:
+        """Bring `fault` to a daemon that gets no other signal meanwhile."""
         free = [d for d in self._fleet.daemons if d.name not in self._busy]
         if not free:
-            return None
+            return
         daemon = self._random.choice(free)
+        assert daemon.process is not None
+        _logger.info("%s %s", fault.__name__.strip("_"), daemon.name)
         self._busy.add(daemon.name)
-        return daemon
+        fault(daemon, daemon.process)
+        self._busy.discard(daemon.name)
 
-    def _freeze(self) -> None:
-        daemon = self._victim()
-        if daemon is None or daemon.process is None:
-            return
-        _logger.info("freeze %s", daemon.name)
-        daemon.process.freeze()
+    def _freeze(self, daemon: Daemon, process: ManagedProcess) -> None:
+        process.freeze()
         self._pause()
-        daemon.process.thaw()
-        self._busy.discard(daemon.name)
+        process.thaw()
 
-    def _kill(self) -> None:
-        daemon = self._victim()
-        if daemon is None or daemon.process is None:
-            return
-        _logger.info("kill %s", daemon.name)
-        daemon.process.kill()
+    def _kill(self, daemon: Daemon, process: ManagedProcess) -> None:
+        process.kill()
         self._pause()
         self._fleet.start(daemon)
-        self._busy.discard(daemon.name)
 
-    def _stop(self) -> None:
-        daemon = self._victim()
-        if daemon is None or daemon.process is None:
-            return
-        _logger.info("stop %s", daemon.name)
-        daemon.process.terminate()
-        with gevent.Timeout(_STOP_S):
-            while daemon.process.is_running():
-                gevent.sleep(0.05)
+    def _stop(self, daemon: Daemon, process: ManagedProcess) -> None:
+        process.terminate()
+        with gevent.Timeout(_STOP_S, False):
+            while process.is_running():
+                gevent.sleep(_LOOK_S)
+        if process.is_running():
+            self.found.append(f"{daemon.name} ran {_STOP_S} s after its SIGTERM")
+            process.kill()
         self._fleet.start(daemon)
-        self._busy.discard(daemon.name)
 
-    def _hang_up(self) -> None:
-        daemon = self._victim()
-        if daemon is None or daemon.process is None:
-            return
+    def _hang_up(self, daemon: Daemon, process: ManagedProcess) -> None:
         # Before a program has its handlers, this signal ends it, as it does any other.
         if SystemClock().monotonic() - daemon.started_at > _HANDLERS_S:
-            _logger.info("hang up %s", daemon.name)
-            daemon.process.hang_up()
-        self._busy.discard(daemon.name)
+            process.hang_up()
 
     def _store_down(self) -> None:
         _logger.info("store down")
--- a/soak/play.py
+++ b/soak/play.py
@@ -41,11 +41,12 @@
         if not _all_serve(fleet, callers, recovery_s):
             return ["not every node served after its start"]
         tasks = [gevent.spawn(callers.run) for _ in range(_CALLERS)]
-        Faults(fleet, random).run(seconds)
+        faults = Faults(fleet, random)
+        faults.run(seconds)
         is_recovered = _all_serve(fleet, callers, recovery_s)
         callers.is_over = True
         gevent.joinall(tasks, raise_error=True)
-        found = fleet.witness.broken_promises()
+        found = faults.found + fleet.witness.broken_promises()
         if not is_recovered:
             found.append(f"not every node served {recovery_s} s after the last fault")
         found += [
