Start processes of bench and soak with one valid settings text

Cause: make bench CASE=gateway_cost failed, since the settings that it wrote lacked listen.control; the soak wrote settings of its own, which had it.

--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -14,13 +14,15 @@
 import urllib3
 
 from sapphirehoist.adapter.tests.standins import (
+    ListenPorts,
     LocalFleet,
     config,
     respond,
     route,
+    settings_text,
     stream,
 )
-from sapphirehoist.testing import ManagedProcess, free_port, wait_until
+from sapphirehoist.testing import ManagedProcess, wait_until
 
 _ENDPOINTS_PER_SERVICE = 4
 _STREAM_CALLER_COUNT = 60
@@ -88,20 +90,10 @@
     """A gateway in a child process, started with a settings file."""
 
     def __init__(self, folder: Path, store_address: str) -> None:
-        front, ready, directory = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        ports = ListenPorts.reserve()
         settings = folder / "settings.toml"
-        settings.write_text(
-            f"""
-nodeName = "vm-1"
-ip = "127.0.0.1"
-zone = "zone-a"
-region = "region-a"
-internalPorts = [{free_port()}, {free_port()}]
-listen = {{ front = "{front}", ready = "{ready}", directory = "{directory}" }}
-platform = {{ address = "{store_address}" }}
-"""
-        )
-        self.url = f"http://{front}"
+        settings.write_text(settings_text("vm-1", "127.0.0.1", ports, store_address))
+        self.url = f"http://127.0.0.1:{ports.front}"
         self.process = ManagedProcess(
             "sapphirehoist.adapter.main",
             [],
@@ -112,7 +104,9 @@
 
         def is_ready() -> bool:
             try:
-                status = pool.request("GET", f"http://{ready}/readiness").status
+                status = pool.request(
+                    "GET", f"http://127.0.0.1:{ports.ready}/readiness"
+                ).status
             except urllib3.exceptions.HTTPError:
                 return False
             return status == 200
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,7 @@
 from sapphirehoist.adapter.tests.standins import (
     STAGES,
     EndpointStandIn,
+    ListenPorts,
     ResponseHandler,
     StoreStandIn,
     compute_pieces,
@@ -22,11 +23,12 @@
     request_id_of,
     route,
     sealed_head,
+    settings_text,
     stream,
 )
 from sapphirehoist.clock import SystemClock
 from sapphirehoist.http1 import CallerRequest, Exchange
-from sapphirehoist.testing import ManagedProcess, free_port
+from sapphirehoist.testing import ManagedProcess
 
 EVENTS_PER_STREAM = 12
 _FIRST_HOST_NUMBER = 10
@@ -45,24 +47,6 @@
     route("ask", "streaming", "model", streamResume=True),
     route("plan", "streaming", "model", streamResume=True, stages=STAGES),
 )
-_SETTINGS_TEMPLATE = """
-nodeName = "{name}"
-ip = "{ip}"
-zone = "zone-a"
-region = "region-a"
-seedNodes = [{seeds}]
-[zones]
-zone-a = "region-a"
-[listen]
-front = "{ip}:{port}"
-ready = "{ip}:{ready}"
-directory = "{ip}:{directory}"
-control = "{ip}:{control}"
-[platform]
-address = "{store}"
-[bounds]
-graceS = 4
-"""
 
 
 def _loopback_subnet() -> str:
@@ -100,35 +84,26 @@
         self.ip = f"{_loopback_subnet()}.{_FIRST_HOST_NUMBER + number}"
         self.link = FaultyLink(store)
         self._folder = folder
-        self._ports = [free_port() for _ in range(4)]
+        self._ports = ListenPorts.reserve()
         self.process: ManagedProcess | None = None
         self.started_at = 0.0
 
     @property
     def caller_address(self) -> str:
         """Return ``IP:PORT`` of the listener for callers."""
-        return f"{self.ip}:{self._ports[0]}"
+        return f"{self.ip}:{self._ports.front}"
 
     @property
     def peer_address(self) -> str:
         """Return ``IP:PORT`` of the listener for other nodes."""
-        return f"{self.ip}:{self._ports[3]}"
+        return f"{self.ip}:{self._ports.control}"
 
     def start(self, seeds: list[str]) -> None:
         """Start the process with `seeds` as the peer addresses of its seed nodes."""
-        port, ready, directory, control = self._ports
         path = self._folder / f"{self.name}.toml"
-        text = _SETTINGS_TEMPLATE.format(
-            name=self.name,
-            ip=self.ip,
-            seeds=", ".join(f'"{seed}"' for seed in seeds),
-            port=port,
-            ready=ready,
-            directory=directory,
-            control=control,
-            store=self.link.address,
+        path.write_text(
+            settings_text(self.name, self.ip, self._ports, self.link.address, seeds)
         )
-        path.write_text(text)
         self.started_at = SystemClock().monotonic()
         self.process = ManagedProcess(
             "sapphirehoist.adapter.main",
