Notice a store that was restored from a copy

Cause: the store may come back from an older copy; its versions then go back and are given out again. Followers went on from their old version and missed changes, a node's row stayed lost, and a configuration version with another content was refused. Besides, an endpoint whose entry was removed while it was cut off from the store was ignored for 600 s by every node that heard of the removal from a peer first. Change: StoreEra holds the latest era of any answer; answers of an earlier one are not used. A follower reads the whole table again in a new era, nodes write their rows again, (version, era) orders configurations, also between peers. Departures carry the sequence of the last entry: entries written later bring an endpoint back, copied ones do not.

--- a/libs/discovery/sapphirehoist/discovery/directory.py
+++ b/libs/discovery/sapphirehoist/discovery/directory.py
@@ -3,12 +3,14 @@
 When an entry is deleted while the platform's store is reachable, its endpoint is gone.
 When an entry is missing right after an outage of the store, it may only have expired:
 its endpoint is kept for a grace period, within which a live endpoint rewrites its
-entry.
+entry. A store that was restored from a copy may show entries of endpoints that have
+left since: they are ignored until their endpoint writes again.
 """
 
 from __future__ import annotations
 
 import logging
+import sys
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
@@ -18,6 +20,9 @@
 
 # Live endpoints rewrite entries that expired in an outage about 2 s after its end.
 MISSING_ENTRY_GRACE_S = 2.2
+# Sequence numbers are not negative, so that no entry is ignored.
+_IGNORE_NONE = -1
+_IGNORE_ALL = sys.maxsize
 # Departures are kept far longer than the 2 s after which an address may be reassigned
 # to another service.
 _DEPARTURE_RETENTION_S = 600.0
@@ -25,6 +30,22 @@
 _logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class _GoneIncarnation:
+    """An incarnation that is gone.
+
+    Attributes
+    ----------
+    ignored_up_to : int
+        Entries with at most this sequence number are older than the departure.
+    since : float
+        Monotonic time at which the departure was recorded.
+    """
+
+    ignored_up_to: int
+    since: float
+
+
 @dataclass(frozen=True, slots=True)
 class Departure:
     """Notice that an endpoint is draining or gone; nodes exchange departures.
@@ -35,19 +56,22 @@
         Name of the endpoint and start time of the incarnation, as in `EndpointRecord`.
     phase : EndpointPhase
         `DRAINING` or `GONE`.
+    sequence : int or None
+        Sequence number of the endpoint's last known entry; None where unknown.
     """
 
     name: str
     born_ms: int
     phase: EndpointPhase
+    sequence: int | None = None
 
 
 class EndpointDirectory:
     """Known endpoints, indexed by name and by service.
 
     Each change is logged with its source. As long as its departure is retained, an
-    incarnation that is draining does not return to service, and one that a peer
-    reported as gone is not added again.
+    incarnation that is draining does not return to service, and one that is gone is
+    added again only by an entry that it wrote later.
 
     Parameters
     ----------
@@ -59,7 +83,8 @@
 
     __slots__ = (
         "_clock",
-        "_departures",
+        "_draining_since",
+        "_gone",
         "_in_service_records",
         "_is_loaded",
         "_listeners",
@@ -73,9 +98,10 @@
         self._metrics = metrics
         self._records: dict[str, EndpointRecord] = {}
         self._in_service_records: dict[str, list[EndpointRecord]] = {}
-        # Maps the name and start time of an incarnation to its phase and to the
-        # monotonic time at which its departure was recorded.
-        self._departures: dict[tuple[str, int], tuple[EndpointPhase, float]] = {}
+        # By name and start time of an incarnation: monotonic time since which it is
+        # known to be draining, and the departure of one that is gone.
+        self._draining_since: dict[tuple[str, int], float] = {}
+        self._gone: dict[tuple[str, int], _GoneIncarnation] = {}
         self._missing_since: dict[str, float] = {}
         self._is_loaded = False
         self._listeners: list[Callable[[Departure, EndpointRecord], None]] = []
@@ -113,6 +139,8 @@
         """
         self._is_loaded = True
         current = {record.name: record for record in records}
+        for name in {name for name, _ in self._gone} - current.keys():
+            self._trust_later_entries(name)
         for name in [name for name in self._records if name not in current]:
             if is_after_outage:
                 self._missing_since.setdefault(name, self._clock.monotonic())
@@ -121,6 +149,19 @@
         for record in current.values():
             self.apply_entry(record)
 
+    def distrust_entries(self, records: Iterable[EndpointRecord]) -> None:
+        """Ignore entries of endpoints that are gone until these write again.
+
+        `records` are the entries of a store that was restored from a copy, which may
+        contain endpoints that have left since the copy was made.
+        """
+        for record in records:
+            key = (record.name, record.born_ms)
+            gone = self._gone.get(key)
+            if gone is not None:
+                ignored_up_to = max(gone.ignored_up_to, record.sequence)
+                self._gone[key] = replace(gone, ignored_up_to=ignored_up_to)
+
     def load_from_peer(self, records: Iterable[EndpointRecord], source: str) -> None:
         """Apply the records of a peer, unless the full table is already loaded."""
         if self._is_loaded:
@@ -135,10 +176,13 @@
         known = self._records.get(record.name)
         if known is not None and _version_key(record) < _version_key(known):
             return
-        phase_and_time = self._departures.get((record.name, record.born_ms))
-        if phase_and_time is not None:
-            if phase_and_time[0] is EndpointPhase.GONE:
+        key = (record.name, record.born_ms)
+        gone = self._gone.get(key)
+        if gone is not None:
+            if record.sequence <= gone.ignored_up_to:
                 return
+            del self._gone[key]
+        if key in self._draining_since:
             record = replace(record, phase=EndpointPhase.DRAINING)
         self._records[record.name] = record
         self._rebuild_service_index()
@@ -156,64 +200,89 @@
         The endpoint is removed, or kept for the grace period if `is_after_outage`.
         """
         if name not in self._records:
-            return
-        if is_after_outage:
+            self._trust_later_entries(name)
+        elif is_after_outage:
             self._missing_since.setdefault(name, self._clock.monotonic())
         else:
             self._remove(name, reason)
 
+    def _trust_later_entries(self, name: str) -> None:
+        """Accept the next entry of `name`, which a peer reported as gone before.
+
+        The table has shown its removal, so that a later entry is a new registration.
+        """
+        for key, gone in self._gone.items():
+            if key[0] == name:
+                self._gone[key] = replace(gone, ignored_up_to=_IGNORE_NONE)
+
     def apply_departure(self, departure: Departure, source: str) -> bool:
         """Apply a departure received from a peer; return whether it was new."""
-        key = (departure.name, departure.born_ms)
-        known_phase_and_time = self._departures.get(key)
-        if known_phase_and_time is not None and (
-            known_phase_and_time[0] is EndpointPhase.GONE
-            or known_phase_and_time[0] is departure.phase
-        ):
-            return False
-        self._departures[key] = (departure.phase, self._clock.monotonic())
         record = self._records.get(departure.name)
-        if record is None or record.born_ms != departure.born_ms:
-            return True
+        if record is not None and record.born_ms != departure.born_ms:
+            record = None
         if departure.phase is EndpointPhase.GONE:
-            self._remove(record.name, source)
-        elif record.phase is EndpointPhase.IN_SERVICE:
+            return self._apply_gone(departure, record, source)
+        key = (departure.name, departure.born_ms)
+        if key in self._draining_since:
+            return False
+        self._draining_since[key] = self._clock.monotonic()
+        if record is not None and record.phase is EndpointPhase.IN_SERVICE:
             self._records[record.name] = replace(record, phase=EndpointPhase.DRAINING)
             self._log_change(record, EndpointPhase.DRAINING.value, source)
             self._rebuild_service_index()
             self._publish_departure(record, EndpointPhase.DRAINING)
         return True
 
+    def _apply_gone(
+        self, departure: Departure, record: EndpointRecord | None, source: str
+    ) -> bool:
+        """Apply a departure of an endpoint that is gone; return whether it was new."""
+        if (departure.name, departure.born_ms) in self._gone:
+            return False
+        sequence = _IGNORE_ALL if departure.sequence is None else departure.sequence
+        if record is not None:
+            if record.sequence > sequence:
+                return False  # it has registered again since
+            self._remove(record.name, source)
+        self._record_gone(departure.name, departure.born_ms, sequence)
+        return True
+
     def remove_expired(self) -> None:
         """Remove endpoints whose grace period has ended, and old departures."""
         now = self._clock.monotonic()
         for name, missing_since in list(self._missing_since.items()):
             if now - missing_since >= MISSING_ENTRY_GRACE_S:
                 self._remove(name, "entry not back after an outage")
-        retained = {
-            key: phase_and_time
-            for key, phase_and_time in self._departures.items()
-            if now - phase_and_time[1] < _DEPARTURE_RETENTION_S
+        oldest = now - _DEPARTURE_RETENTION_S
+        self._gone = {
+            key: gone for key, gone in self._gone.items() if gone.since > oldest
+        }
+        present = {(r.name, r.born_ms) for r in self._records.values()}
+        self._draining_since = {
+            key: since
+            for key, since in self._draining_since.items()
+            if since > oldest or key in present
         }
-        self._departures = retained
 
     def _remove(self, name: str, reason: str) -> None:
         self._missing_since.pop(name, None)
         record = self._records.pop(name, None)
         if record is None:
             return
+        self._record_gone(record.name, record.born_ms, _IGNORE_NONE)
         self._log_change(record, EndpointPhase.GONE.value, reason)
         self._rebuild_service_index()
         self._publish_departure(record, EndpointPhase.GONE)
 
+    def _record_gone(self, name: str, born_ms: int, ignored_up_to: int) -> None:
+        now = self._clock.monotonic()
+        self._gone[(name, born_ms)] = _GoneIncarnation(ignored_up_to, now)
+
     def _publish_departure(self, record: EndpointRecord, phase: EndpointPhase) -> None:
-        departure = Departure(record.name, record.born_ms, phase)
-        known = self._departures.get((record.name, record.born_ms))
-        if phase is EndpointPhase.DRAINING and known is None:
-            self._departures[(record.name, record.born_ms)] = (
-                phase,
-                self._clock.monotonic(),
-            )
+        departure = Departure(record.name, record.born_ms, phase, record.sequence)
+        if phase is EndpointPhase.DRAINING:
+            key = (record.name, record.born_ms)
+            self._draining_since.setdefault(key, self._clock.monotonic())
         for listener in self._listeners:
             listener(departure, record)
 
--- a/libs/discovery/sapphirehoist/discovery/follower.py
+++ b/libs/discovery/sapphirehoist/discovery/follower.py
@@ -47,10 +47,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRows:
-    """Rows as of revision `revision` of the store."""
+    """Rows as of revision `revision` of the store.
+
+    Revisions are comparable within one era only. The store starts a new era when it is
+    restored from a copy; 0 where it reports none.
+    """
 
     rows: tuple[TableRow, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +95,12 @@
     process, when a missing row may have expired rather than been deleted.
     """
 
+    def on_restore(self, rows: TableRows) -> None:  # noqa: B027
+        """Prepare for a full read, `rows`, of a store restored from a copy.
+
+        The rows may be older than what was read before; `on_full_read` follows.
+        """
+
     @abstractmethod
     def on_full_read(self, rows: TableRows, is_after_outage: bool) -> None:
         """Apply a full read of the table."""
@@ -128,6 +139,7 @@
     __slots__ = (
         "_clock",
         "_count_nodes",
+        "_era",
         "_full_read_at",
         "_is_store_unreachable",
         "_listener",
@@ -161,6 +173,7 @@
         self._clock = clock
         self._metrics = metrics
         self._revision: int | None = None
+        self._era: int | None = None
         self._is_store_unreachable = False
         self._outage_started_at = 0.0
         self._outage_ended_at = -_POST_OUTAGE_S
@@ -193,7 +206,19 @@
             self._revision = None
             return 0.0
         self._handle_read_success()
-        self._revision = outcome.revision
+        is_restored = self._era is not None and outcome.era != self._era
+        if is_restored and not is_full_read:
+            # The changes between the copy and this revision are not in the response.
+            self._revision = None
+            return 0.0
+        self._revision, self._era = outcome.revision, outcome.era
+        if is_restored:
+            _logger.info(
+                "read the table of a restored store",
+                extra={"table": self._name, "era": self._era},
+            )
+            self._outage_ended_at = self._clock.monotonic()
+            self._listener.on_restore(outcome)
         if is_full_read:
             self._full_read_at = self._clock.monotonic()
             self._table_bytes = sum(
--- a/libs/discovery/sapphirehoist/discovery/tests/test_follower.py
+++ b/libs/discovery/sapphirehoist/discovery/tests/test_follower.py
@@ -52,6 +52,9 @@
 
     deliveries: list[tuple[str, bool]] = field(default_factory=list)
 
+    def on_restore(self, rows: TableRows) -> None:
+        self.deliveries.append(("restore", True))
+
     def on_full_read(self, rows: TableRows, is_after_outage: bool) -> None:
         self.deliveries.append(("full", is_after_outage))
 
@@ -177,6 +180,37 @@
         harness.step()
         assert harness.listener.deliveries[-1] == ("full", False)
 
+    def test_changes_of_a_restored_store_are_read_as_a_full_table(
+        self, harness: FollowerHarness
+    ) -> None:
+        """Revisions are given out again, so changes since an old one are incomplete."""
+        harness.step()
+        harness.source.change_read = TableRows((TableRow("b", b"2"),), 6, era=1)
+        harness.source.full_read = TableRows((TableRow("a", b"1"),), 6, era=1)
+        harness.step()
+        harness.step()
+        assert harness.source.reads == ["full", "changes", "full"]
+        assert harness.listener.deliveries == [
+            ("full", False),
+            ("restore", True),
+            ("full", True),
+        ]
+
+    def test_history_that_a_restored_store_lacks_is_read_as_a_full_table(
+        self, harness: FollowerHarness
+    ) -> None:
+        harness.step()
+        harness.source.change_read = HistoryExpired()
+        harness.source.full_read = TableRows((), 3, era=1)
+        harness.step()
+        harness.step()
+        assert harness.listener.deliveries[1:] == [("restore", True), ("full", True)]
+
+    def test_the_first_era_is_not_a_restore(self, harness: FollowerHarness) -> None:
+        harness.source.full_read = TableRows((), 3, era=7)
+        harness.step()
+        assert harness.listener.deliveries == [("full", False)]
+
     def test_a_large_table_delays_the_next_full_read(
         self, harness: FollowerHarness
     ) -> None:
@@ -239,6 +273,70 @@
         directory.remove_expired()
         assert directory.list_in_service("s")
 
+    def test_an_endpoint_returns_after_a_peer_reported_its_entry_as_removed(
+        self,
+    ) -> None:
+        """An endpoint that was cut off from the store registers again once it heals.
+
+        One node reads the removal first and tells the others, which read it later.
+        """
+        directory, _ = self.new_directory()
+        directory.apply_entry(RECORD)
+        gone = Departure("e", 10, EndpointPhase.GONE, RECORD.sequence)
+        assert directory.apply_departure(gone, "vm-2")
+        directory.apply_entry(RECORD)
+        assert directory.get("e") is None
+        directory.apply_deletion("e", False, "entry removed")
+        directory.apply_entry(RECORD)
+        assert directory.list_in_service("s")
+
+    def test_an_entry_written_after_the_removal_returns_without_reading_the_removal(
+        self,
+    ) -> None:
+        directory, _ = self.new_directory()
+        directory.apply_entry(RECORD)
+        gone = Departure("e", 10, EndpointPhase.GONE, RECORD.sequence)
+        directory.apply_departure(gone, "vm-2")
+        directory.apply_full_read([replace(RECORD, sequence=4)], False)
+        assert directory.list_in_service("s")
+
+    def test_a_late_report_does_not_remove_an_endpoint_that_registered_again(
+        self,
+    ) -> None:
+        directory, _ = self.new_directory()
+        directory.apply_entry(replace(RECORD, sequence=4))
+        assert not directory.apply_departure(
+            Departure("e", 10, EndpointPhase.GONE, 3), "vm-2"
+        )
+        assert directory.list_in_service("s")
+
+    def test_a_restored_store_does_not_bring_back_what_has_left(self) -> None:
+        directory, _ = self.new_directory()
+        directory.apply_entry(RECORD)
+        directory.apply_deletion("e", False, "entry removed")
+        copy = [replace(RECORD, sequence=9)]
+        directory.distrust_entries(copy)
+        directory.apply_full_read(copy, is_after_outage=True)
+        assert directory.get("e") is None
+        directory.apply_entry(replace(RECORD, sequence=10))
+        assert directory.list_in_service("s")
+
+    def test_a_restored_store_does_not_revert_draining(self) -> None:
+        directory, _ = self.new_directory()
+        directory.apply_entry(replace(RECORD, phase=EndpointPhase.DRAINING, sequence=4))
+        directory.distrust_entries([RECORD])
+        directory.apply_full_read([RECORD], is_after_outage=True)
+        assert directory.list_in_service("s") == []
+
+    def test_draining_is_remembered_while_the_endpoint_is_known(self) -> None:
+        directory, clock = self.new_directory()
+        directory.apply_entry(RECORD)
+        directory.apply_departure(Departure("e", 10, EndpointPhase.DRAINING), "vm-2")
+        clock.advance(3_600.0)
+        directory.remove_expired()
+        directory.apply_entry(replace(RECORD, sequence=99))
+        assert directory.list_in_service("s") == []
+
     @settings(derandomize=True)
     @given(
         st.lists(
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -45,7 +45,7 @@
     RoutingConfig,
     RoutingReplica,
 )
-from sapphirehoist.storage import TableService
+from sapphirehoist.storage import StoreEra, TableService
 
 # Callers select a node again about every second, so that the detection of a failed
 # node within about 3 s suffices.
@@ -148,6 +148,8 @@
         Decodes a configuration document; returns None for an invalid one.
     create_config_listener, create_endpoint_listener : callable
         Create the listeners that apply rows of the two tables.
+    store_era : StoreEra
+        Latest era of the store that contains the tables.
     """
 
     clock: Clock
@@ -160,6 +162,7 @@
     decode_config: Callable[[bytes], RoutingConfig | None]
     create_config_listener: Callable[[RoutingReplica], TableListener]
     create_endpoint_listener: Callable[[EndpointDirectory], TableListener]
+    store_era: StoreEra
 
 
 class GatewayNode:
@@ -180,6 +183,8 @@
         Whether a graceful shutdown has started.
     metrics : Metrics
         Metrics of all components.
+    store_era : StoreEra
+        Latest era of the store.
     routing_replica : RoutingReplica
         Configuration in force.
     endpoint_directory : EndpointDirectory
@@ -203,6 +208,7 @@
         self.is_stopping = False
         self._is_rejecting_requests = False
         self.metrics = Metrics()
+        self.store_era = dependencies.store_era
         self.routing_replica = RoutingReplica()
         self.endpoint_directory = EndpointDirectory(dependencies.clock, self.metrics)
         self._build_fleet()
@@ -346,7 +352,12 @@
             _DETECTOR_TIMES,
         )
         self._peer_discovery = PeerDiscovery(
-            self.fleet, dependencies.table_service, dependencies.clock, settings.seeds
+            self.fleet,
+            dependencies.table_service,
+            dependencies.clock,
+            dependencies.random,
+            dependencies.store_era,
+            settings.seeds,
         )
         self.addresses = NodeAddresses(self.fleet, dependencies.random)
 
--- a/libs/gateway/sapphirehoist/gateway/peer_discovery.py
+++ b/libs/gateway/sapphirehoist/gateway/peer_discovery.py
@@ -1,19 +1,28 @@
 """Peer discovery: each node writes a row of its own and reads the rows of all nodes.
 
 A node that starts while the store is unavailable contacts the seeds from its settings.
-Seeds may no longer exist, so they are only a fallback.
+Seeds may no longer exist, so they are only a fallback. A store that was restored from a
+copy may lack the row, so every node writes it again.
 """
 
 from __future__ import annotations
 
 import logging
+from random import Random
 
 import gevent
+from gevent.event import Event
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.membership import Fleet, Member, MemberUpdate, Status
 from sapphirehoist.messages import MalformedMessage, decode_json, encode_json
-from sapphirehoist.storage import Committed, TableService, Unavailable, Write
+from sapphirehoist.storage import (
+    Committed,
+    StoreEra,
+    TableService,
+    Unavailable,
+    Write,
+)
 
 _KEY_PREFIX = "nodes/"
 # All nodes start at about the same time and find each other in the initial reads.
@@ -23,6 +32,8 @@
 # nodes announce themselves.
 _MIN_READ_INTERVAL_S = 8.0
 _READ_INTERVAL_PER_NODE_S = 2.0
+# After a restore of the store, all nodes write their rows again, at this rate together.
+_FLEET_REWRITES_PER_S = 50.0
 # An available store responds within this time. After it, the seeds are contacted.
 _SEED_FALLBACK_DELAY_S = 0.3
 # Consecutive reads in which a node has to be dead before its row is removed.
@@ -42,6 +53,10 @@
         The platform's table.
     clock : Clock
         Determines the time between reads.
+    random : Random
+        Spreads the writes of all nodes after a restore of the store.
+    era : StoreEra
+        Reports restores of the store.
     seeds : tuple of str
         Peer addresses to contact while no other node is known.
     """
@@ -50,22 +65,33 @@
         "_clock",
         "_dead_read_counts",
         "_fleet",
+        "_has_restored",
         "_is_own_row_written",
+        "_random",
         "_read_count",
         "_seeds",
         "_table",
     )
 
     def __init__(
-        self, fleet: Fleet, table: TableService, clock: Clock, seeds: tuple[str, ...]
+        self,
+        fleet: Fleet,
+        table: TableService,
+        clock: Clock,
+        random: Random,
+        era: StoreEra,
+        seeds: tuple[str, ...],
     ) -> None:
         self._fleet = fleet
         self._table = table
         self._clock = clock
+        self._random = random
         self._seeds = seeds
+        self._has_restored = Event()
         self._is_own_row_written = False
         self._read_count = 0
         self._dead_read_counts: dict[tuple[str, int], int] = {}
+        era.on_restore(lambda _: self._has_restored.set())
 
     def run(self) -> None:
         """Poll the table until killed."""
@@ -78,22 +104,17 @@
             interval_s = max(
                 _MIN_READ_INTERVAL_S, _READ_INTERVAL_PER_NODE_S * node_count
             )
-            self._clock.sleep(_INITIAL_READ_INTERVAL_S if is_initial else interval_s)
+            if is_initial:
+                interval_s = _INITIAL_READ_INTERVAL_S
+            if self._clock.wait(self._has_restored, interval_s):
+                self._rewrite_own_row(node_count)
 
     def poll(self) -> None:
         """Write this node's row until a write has succeeded, and read all rows."""
         if not self._fleet.other_members():
             gevent.spawn(self._contact_seeds)
-        member = self._fleet.local_member
-        key = _KEY_PREFIX + member.vm
         if not self._is_own_row_written:
-            outcome = self._table.transact([], [Write(key, encode_json(member))])
-            self._is_own_row_written = isinstance(outcome, Committed)
-            if not self._is_own_row_written:
-                _logger.warning(
-                    "cannot write the discovery row of this node",
-                    extra={"detail": str(outcome)},
-                )
+            self._write_own_row()
         rows = self._table.read_prefix(_KEY_PREFIX)
         if isinstance(rows, Unavailable):
             return
@@ -101,6 +122,25 @@
         members = [decode_json(row.value, Member) for row in rows.rows]
         self._merge_members([m for m in members if not isinstance(m, MalformedMessage)])
 
+    def _write_own_row(self) -> None:
+        member = self._fleet.local_member
+        key = _KEY_PREFIX + member.vm
+        outcome = self._table.transact([], [Write(key, encode_json(member))])
+        self._is_own_row_written = isinstance(outcome, Committed)
+        if not self._is_own_row_written:
+            _logger.warning(
+                "cannot write the discovery row of this node",
+                extra={"detail": str(outcome)},
+            )
+
+    def _rewrite_own_row(self, node_count: int) -> None:
+        """Write this node's row again after a restore; the next poll repeats it."""
+        self._has_restored.clear()
+        self._is_own_row_written = False
+        delay_s = self._random.uniform(0.0, node_count / _FLEET_REWRITES_PER_S)
+        self._clock.sleep(delay_s)
+        self._write_own_row()
+
     def remove_own_row(self) -> None:
         """Remove this node's row."""
         self._table.transact(
--- a/libs/gateway/sapphirehoist/gateway/peer_state_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/peer_state_sync.py
@@ -29,27 +29,33 @@
 
 
 class VersionUpdate(PeerMessage, frozen=True, array_like=True):
-    """Reports the configuration version in force at the sender."""
+    """Reports the configuration version in force at the sender, and its era."""
 
     KIND: ClassVar[str] = "gateway.version"
 
     version: int
+    era: int = 0
 
 
 class ConfigurationRequest(PeerMessage, frozen=True, array_like=True):
-    """Requests the configuration if it is newer than `version`."""
+    """Requests the configuration if it is newer than `version` of `era`."""
 
     KIND: ClassVar[str] = "gateway.document_request"
 
     version: int
+    era: int = 0
 
 
 class ConfigurationReply(PeerMessage, frozen=True, array_like=True):
-    """The configuration document as the operator submitted it; empty if not newer."""
+    """The configuration document as the operator submitted it; empty if not newer.
+
+    `era` is the era of the store in which the sender read it.
+    """
 
     KIND: ClassVar[str] = "gateway.document_reply"
 
     document: bytes
+    era: int = 0
 
 
 class DepartureUpdate(PeerMessage, frozen=True, array_like=True):
@@ -63,6 +69,8 @@
         Start time in milliseconds, which identifies the endpoint's incarnation.
     is_gone : bool
         Whether the endpoint is gone rather than draining.
+    sequence : int or None
+        Sequence number of the endpoint's last entry that the sender knows.
     """
 
     KIND: ClassVar[str] = "gateway.departure"
@@ -70,6 +78,7 @@
     name: str
     born_ms: int
     is_gone: bool
+    sequence: int | None = None
 
 
 class PeerStateSync:
@@ -120,6 +129,9 @@
                 "routes", lambda: routing_replica.version, self._handle_version_digest
             )
         )
+        fleet.add_digest(
+            Digest("routes_era", lambda: routing_replica.era, self._handle_era_digest)
+        )
         bus.subscribe(VersionUpdate, self._handle_version)
         bus.subscribe(ConfigurationRequest, self._handle_configuration_request)
         fleet.subscribe_updates(DepartureUpdate, self._handle_departure)
@@ -127,28 +139,37 @@
         directory.on_departure(self._publish_departure)
 
     def _publish_version(self, table: RouteTable) -> None:
-        self._fleet.broadcast(VersionUpdate(table.version))
+        self._fleet.broadcast(VersionUpdate(table.version, self._routing_replica.era))
 
     def _handle_version(self, sender: str, update: VersionUpdate) -> None:
         """Fetch the version from the sender unless the store provides it first."""
-        if update.version <= self._routing_replica.version:
+        if self._is_known(update.version, update.era):
             return
         self._clock.sleep(_PEER_FALLBACK_DELAY_S)
         member = self._find_member(sender)
         for _ in range(_MAX_FETCH_ATTEMPTS):
-            if update.version <= self._routing_replica.version or member is None:
+            if self._is_known(update.version, update.era) or member is None:
                 return
             self.fetch_configuration(member)
 
+    def _is_known(self, version: int, era: int) -> bool:
+        replica = self._routing_replica
+        return (version, era) <= (replica.version, replica.era)
+
     def _handle_version_digest(self, member: Member, peer_version: int) -> None:
         if peer_version > self._routing_replica.version:
             self.fetch_configuration(member)
 
+    def _handle_era_digest(self, member: Member, peer_era: int) -> None:
+        if peer_era > self._routing_replica.era:
+            self.fetch_configuration(member)
+
     def fetch_configuration(self, member: Member) -> None:
         """Fetch and apply the configuration of `member` if it is newer."""
+        replica = self._routing_replica
         reply = self._bus.request(
             member.peer_address,
-            ConfigurationRequest(self._routing_replica.version),
+            ConfigurationRequest(replica.version, replica.era),
             ConfigurationReply,
             _PEER_REQUEST_TIMEOUT_S,
         )
@@ -156,26 +177,34 @@
             return
         config = self._decode_config(reply.document)
         if config is not None:
-            self._routing_replica.apply_if_newer(
-                config, reply.document, f"peer {member.vm}"
+            replica.apply_if_newer(
+                config, reply.document, f"peer {member.vm}", reply.era
             )
 
     def _handle_configuration_request(
         self, sender: str, request: ConfigurationRequest
     ) -> ConfigurationReply:
-        is_newer = self._routing_replica.version > request.version
-        return ConfigurationReply(self._routing_replica.document if is_newer else b"")
+        replica = self._routing_replica
+        if self._is_known_to(request):
+            return ConfigurationReply(b"")
+        return ConfigurationReply(replica.document, replica.era)
+
+    def _is_known_to(self, request: ConfigurationRequest) -> bool:
+        replica = self._routing_replica
+        return (replica.version, replica.era) <= (request.version, request.era)
 
     def _handle_departure(self, update: DepartureUpdate) -> bool:
         """Apply a departure; return whether it is new and has to be forwarded."""
         phase = EndpointPhase.GONE if update.is_gone else EndpointPhase.DRAINING
         return self._directory.apply_departure(
-            Departure(update.name, update.born_ms, phase), "a peer"
+            Departure(update.name, update.born_ms, phase, update.sequence), "a peer"
         )
 
     def _publish_departure(self, departure: Departure, record: object) -> None:
         is_gone = departure.phase is EndpointPhase.GONE
-        update = DepartureUpdate(departure.name, departure.born_ms, is_gone)
+        update = DepartureUpdate(
+            departure.name, departure.born_ms, is_gone, departure.sequence
+        )
         gevent.spawn(self._fleet.broadcast, update)
 
     def _find_member(self, vm: str) -> Member | None:
--- a/libs/routes/sapphirehoist/routes/table.py
+++ b/libs/routes/sapphirehoist/routes/table.py
@@ -93,19 +93,24 @@
 class RoutingReplica:
     """Holds the routing configuration in force on this node.
 
-    Its version never decreases.
+    Its version never decreases. After a restore of the store from a copy, the operator
+    may give a version out again with another content: of two contents of one version,
+    the one of the later era is in force.
 
     Attributes
     ----------
+    era : int
+        Latest era of the store in which the configuration in force was read.
     table : RouteTable or None
         Index of the configuration in force.
     document : bytes
         Encoded form of the configuration in force, as received.
     """
 
-    __slots__ = ("_listeners", "document", "table")
+    __slots__ = ("_listeners", "document", "era", "table")
 
     def __init__(self) -> None:
+        self.era = 0
         self.table: RouteTable | None = None
         self.document = b""
         self._listeners: list[Callable[[RouteTable], None]] = []
@@ -120,7 +125,7 @@
         self._listeners.append(listener)
 
     def apply_if_newer(
-        self, config: RoutingConfig, document: bytes, source: str
+        self, config: RoutingConfig, document: bytes, source: str, era: int = 0
     ) -> bool:
         """Apply `config` if it is newer; return whether it was applied.
 
@@ -132,10 +137,15 @@
             Encoded form of `config`.
         source : str
             Where the configuration was received from, for the log.
+        era : int, optional
+            Era of the store in which the configuration was read.
         """
-        if config.version <= self.version:
+        if (config.version, era) <= (self.version, self.era):
+            return False
+        previous, is_same = self.version, document == self.document
+        self.era = era
+        if is_same:
             return False
-        previous = self.version
         self.table = RouteTable(config)
         self.document = document
         _logger.info(
@@ -143,6 +153,7 @@
             extra={
                 "version": config.version,
                 "previous": previous,
+                "era": era,
                 "source": source,
                 "routes": len(config.routes),
                 "teams": len(config.teams),
--- a/libs/storage/sapphirehoist/storage/__init__.py
+++ b/libs/storage/sapphirehoist/storage/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sapphirehoist.storage.era import StoreEra
 from sapphirehoist.storage.http import (
     HttpObjectStore,
     HttpTableService,
@@ -37,6 +38,7 @@
     "ObjectStore",
     "Row",
     "Rows",
+    "StoreEra",
     "TableService",
     "TransactOutcome",
     "Unavailable",
