Stop sending to endpoints that leave or ask for a pause

Cause: an endpoint that leaves states it in all its replies, and one that turns a request away may state for how long it wants no other one from this node; neither was read. Each stage result was released twice, at the end of its stage and with the first event. Change: EndpointCandidates.record_reply takes both from every reply: dispatch, stage calls and releases. A leaving endpoint departs, which peers are told; EndpointBackoff (decisions) keeps pauses per incarnation, which dispatch, stage queues, owners and releases observe. Where every endpoint of a service paused, callers are refused at once with the true time, before any stage. Owners of stage endpoints are cached by the revision of the view of the fleet, as the choice now looks them up more often.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -28,6 +28,7 @@
     urgency_level,
 )
 from sapphirehoist.decisions.class_statistics import ClassStatistics
+from sapphirehoist.decisions.endpoint_backoff import MAX_BACKOFF_S, EndpointBackoff
 from sapphirehoist.decisions.endpoint_loads import EndpointLoad, EndpointLoads
 from sapphirehoist.decisions.forecast import CallerTimeouts, ForecastCorrection
 from sapphirehoist.decisions.placement import (
@@ -61,6 +62,7 @@
 from sapphirehoist.decisions.team_shares import TeamShares
 
 __all__ = [
+    "MAX_BACKOFF_S",
     "URGENCY_LEVELS",
     "AdmissionDecision",
     "AdmissionPolicy",
@@ -75,6 +77,7 @@
     "ClassStatistics",
     "Distance",
     "EarliestStartPolicy",
+    "EndpointBackoff",
     "EndpointLoad",
     "EndpointLoads",
     "ForecastCorrection",
--- a/libs/gateway/sapphirehoist/gateway/candidates.py
+++ b/libs/gateway/sapphirehoist/gateway/candidates.py
@@ -2,14 +2,27 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from collections.abc import Collection
 
-from sapphirehoist.decisions import Distance, EndpointLoads, PlacementCandidate
-from sapphirehoist.discovery import EndpointDirectory, EndpointRecord
-from sapphirehoist.gateway.codec import LoadReport
+from sapphirehoist.decisions import (
+    Distance,
+    EndpointBackoff,
+    EndpointLoads,
+    PlacementCandidate,
+)
+from sapphirehoist.discovery import (
+    Departure,
+    EndpointDirectory,
+    EndpointPhase,
+    EndpointRecord,
+)
+from sapphirehoist.gateway.codec import ReplyMetadata
 from sapphirehoist.routes import Service
 
+_logger = logging.getLogger(__name__)
+
 
 class EndpointCandidates:
     """Builds the candidate list of a service for the placement policies.
@@ -26,9 +39,12 @@
         Known endpoints and their phases.
     loads : EndpointLoads
         Load and health of each endpoint.
+    backoff : EndpointBackoff
+        Pauses that endpoints have asked this node for.
     """
 
     __slots__ = (
+        "_backoff",
         "_directory",
         "_generation_tokens",
         "_pending_prefill_tokens",
@@ -43,11 +59,13 @@
         regions: dict[str, str],
         directory: EndpointDirectory,
         loads: EndpointLoads,
+        backoff: EndpointBackoff,
     ) -> None:
         self._zone = zone
         self._regions = regions
         self._directory = directory
         self.loads = loads
+        self._backoff = backoff
         self._generation_tokens: Counter[str] = Counter()
         self._pending_prefill_tokens: Counter[str] = Counter()
 
@@ -74,11 +92,14 @@
     def candidates(
         self, service: Service, tried: Collection[str]
     ) -> list[PlacementCandidate]:
-        """Return candidates not in `tried`; ejected ones only if no other is left."""
+        """Return candidates not in `tried`; ejected ones only if no other is left.
+
+        Endpoints that asked this node for a pause are never candidates.
+        """
         records = [
             record
             for record in self._directory.list_in_service(service.name)
-            if record.name not in tried
+            if record.name not in tried and not self.backoff_s(record)
         ]
         available = [
             record for record in records if not self.loads.is_ejected(record.name)
@@ -87,10 +108,43 @@
             self._build_candidate(record, service) for record in available or records
         ]
 
-    def record_load_report(self, endpoint: str, report: LoadReport | None) -> None:
-        """Record the load that an endpoint reports; None is ignored."""
-        if report is not None:
-            self.loads.record_report(endpoint, report.running + report.waiting)
+    def backoff_s(self, record: EndpointRecord) -> float:
+        """Return for how long `record` still wants no requests from this node."""
+        return self._backoff.remaining_s(record.name, record.born_ms)
+
+    def service_backoff_s(self, service: str) -> float:
+        """Return the time until an endpoint of `service` accepts requests again.
+
+        It is 0 unless all endpoints in service asked this node for a pause.
+        """
+        records = self._directory.list_in_service(service)
+        return min(map(self.backoff_s, records), default=0.0)
+
+    def discard(self, endpoint: str) -> None:
+        """Discard what is known of an endpoint that is gone."""
+        self.loads.discard_if_idle(endpoint)
+        self._backoff.discard(endpoint)
+
+    def record_reply(self, record: EndpointRecord, reply: ReplyMetadata) -> None:
+        """Record what a reply to a request to `record` states about the endpoint."""
+        if reply.endpoint and reply.endpoint != record.name:
+            return  # another endpoint has taken the address
+        if reply.load is not None:
+            load = reply.load.running + reply.load.waiting
+            self.loads.record_report(record.name, load)
+        if reply.retry_after_s is not None:
+            self._backoff.record_refusal(
+                record.name, record.born_ms, reply.retry_after_s
+            )
+            _logger.info(
+                "endpoint asked for a pause",
+                extra={"endpoint": record.name, "pause_s": reply.retry_after_s},
+            )
+        if reply.is_leaving:
+            self._directory.apply_departure(
+                Departure(record.name, record.born_ms, EndpointPhase.DRAINING),
+                "its own reply",
+            )
 
     def begin_generation(self, endpoint: str, tokens: int) -> None:
         """Add the tokens of a generation that starts at an engine."""
--- a/libs/gateway/sapphirehoist/gateway/codec.py
+++ b/libs/gateway/sapphirehoist/gateway/codec.py
@@ -106,6 +106,11 @@
         Name of the endpoint that replied; empty if not stated.
     load : LoadReport or None
         Load of the endpoint; None if not stated.
+    is_leaving : bool
+        Whether the endpoint states that it is leaving.
+    retry_after_s : float or None
+        Time in seconds for which an endpoint that turned the request away wants no
+        other one; None if not stated.
     """
 
     is_sealed: bool
@@ -114,6 +119,8 @@
     request_id: str
     endpoint: str
     load: LoadReport | None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -48,7 +48,7 @@
     TruncatedBody,
 )
 from sapphirehoist.observability import Metrics
-from sapphirehoist.routes import RequestKind
+from sapphirehoist.routes import RequestKind, Service
 
 _SUCCESS_STATUSES = range(200, 300)
 # Status of an endpoint that did not run a request because a stage result is gone.
@@ -181,6 +181,7 @@
                 else self._choose_endpoint(context, inputs, progress.tried_endpoints)
             )
             if candidate is None:
+                error = error or self.check_backoff(context.service)
                 return self._failure_outcome(progress, last_result, error)
             if inputs is not None and inputs.is_released:
                 return InputsGone()
@@ -199,6 +200,22 @@
             if action is NextAction.GIVE_UP:
                 return self._failure_outcome(progress, last_result, None)
 
+    def check_backoff(
+        self, service: Service, available_in_s: float = 0.0
+    ) -> ErrorResponse | None:
+        """Return an error response if all endpoints of `service` asked for a pause.
+
+        A pause that ends within `available_in_s` is ignored.
+        """
+        backoff_s = self._endpoints.service_backoff_s(service.name)
+        if backoff_s <= available_in_s:
+            return None
+        return ErrorResponse(
+            ErrorReason.ENDPOINTS_FULL,
+            f"every endpoint of {service.name} asked for a pause",
+            backoff_s,
+        )
+
     def expected_zone(self, context: RequestContext) -> str:
         """Return the availability zone of the endpoint that would be chosen now.
 
@@ -423,7 +440,7 @@
     ) -> _AttemptResult:
         """Classify a reply from its head, then read its body or relay its stream."""
         metadata = self._codec.decode_reply_head(reply.head)
-        self._endpoints.record_load_report(record.name, metadata.load)
+        self._endpoints.record_reply(record, metadata)
         if metadata.is_not_run:
             outcome = AttemptOutcome.NOT_RUN
             if reply.head.status == _STATUS_CONFLICT:
@@ -575,7 +592,8 @@
             error = ErrorResponse(ErrorReason.NO_ENDPOINT, detail)
         elif detail:
             error = ErrorResponse(error.reason, f"{error.detail}; {detail}")
-        return ErrorResponse(error.reason, error.detail, _RETRY_AFTER_S)
+        retry_after_s = error.retry_after_s or _RETRY_AFTER_S
+        return ErrorResponse(error.reason, error.detail, retry_after_s)
 
 
 def _engine_priority(context: RequestContext) -> int | None:
--- a/libs/gateway/sapphirehoist/gateway/endpoint_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/endpoint_queue.py
@@ -168,10 +168,11 @@
             + pool_config.max_batch_pieces * pool_config.per_piece_s
         )
         start_delay_s = max(0.0, self._expected_call_end_at - now)
-        start_delay_s += (
+        start_delay_s += max(
             self._dependencies.endpoint_candidates.loads.remaining_ejection_s(
                 self.record.name
-            )
+            ),
+            self.backoff_s(),
         )
         waiting_by_level = [0] * URGENCY_LEVELS
         for piece in self._pieces.values():
@@ -185,6 +186,10 @@
             )
         )
 
+    def backoff_s(self) -> float:
+        """Return for how long the endpoint still wants no calls from this node."""
+        return self._dependencies.endpoint_candidates.backoff_s(self.record)
+
     def fail_all(self, reason: str) -> None:
         """Fail every queued piece with `reason`."""
         pieces, self._pieces = list(self._pieces.values()), {}
@@ -211,7 +216,8 @@
             if pool_config is None:
                 self.fail_all("no such pool")
                 continue
-            pieces = self._take_next_batch(pool_config)
+            self._expire_pieces()
+            pieces = [] if self.backoff_s() else self._take_next_batch(pool_config)
             if not pieces:
                 # Space becomes free when results are released or expire.
                 self._has_changed.clear()
@@ -221,12 +227,15 @@
                 continue
             self._run_call(pool_config, pieces)
 
-    def _take_next_batch(self, pool_config: StageEndpointSpec) -> list[Piece]:
+    def _expire_pieces(self) -> None:
         now = self._dependencies.clock.monotonic()
         for piece_id, piece in list(self._pieces.items()):
             if piece.expires_at <= now:
                 del self._pieces[piece_id]
                 piece.result.set(PieceFailed(REASON_EXPIRED))
+
+    def _take_next_batch(self, pool_config: StageEndpointSpec) -> list[Piece]:
+        now = self._dependencies.clock.monotonic()
         self._reserve_space(pool_config, now)
         piece_ids = self._dependencies.batch_policy.select_batch(
             self._queued_pieces(), pool_config.max_batch_pieces, now
@@ -304,6 +313,9 @@
             self._deliver_results(pool_config, pieces, outcome, used_bytes)
         else:
             self._handle_failed_call(pieces, outcome, elapsed_s)
+            if self.backoff_s() > expected_s:
+                # Waiting here takes longer than a call at another endpoint.
+                self.fail_all(REASON_ENDPOINT_LOST)
 
     def _call_endpoint(
         self, pieces: list[Piece], started_at: float, expected_s: float
@@ -352,9 +364,7 @@
     ) -> StageResults | Lost | PieceFailed:
         address, codec = self.record.address, self._dependencies.codec
         reply_metadata = codec.decode_reply_head(reply.head)
-        self._dependencies.endpoint_candidates.record_load_report(
-            self.record.name, reply_metadata.load
-        )
+        self._dependencies.endpoint_candidates.record_reply(self.record, reply_metadata)
         if reply_metadata.is_not_run:
             return PieceFailed(f"status {reply.head.status}")
         body = reply.read_all()
@@ -469,6 +479,7 @@
         may_retry = (
             is_refused
             and not self.is_draining
+            and not self.backoff_s()
             and dependencies.retry_budget.try_acquire(record.service)
         )
         for piece in pieces:
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -308,6 +308,9 @@
         A request that is forecast to meet its latency target is always accepted.
         """
         forecast = stage_runner.forecast()
+        error = self._dispatcher.check_backoff(context.service, forecast.on_time_s)
+        if error is not None:
+            return error
         correction_factor = self._forecast_correction.factor(context.route.name)
         trace.forecast_s = forecast.on_time_s * correction_factor
         now = self._clock.monotonic()
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -12,6 +12,7 @@
 from sapphirehoist.clock import Clock, HybridClock
 from sapphirehoist.decisions import (
     EarliestStartPolicy,
+    EndpointBackoff,
     EndpointLoads,
     GenerationPlacement,
     PredictedPlacement,
@@ -390,6 +391,7 @@
             settings.regions,
             self.endpoint_directory,
             EndpointLoads(clock),
+            EndpointBackoff(clock),
         )
         self._endpoint_connections = EndpointConnectionPool(clock, metrics)
         retry_budget = self._retry_budget = SharedRetryBudget(
--- a/libs/gateway/sapphirehoist/gateway/remote_backlogs.py
+++ b/libs/gateway/sapphirehoist/gateway/remote_backlogs.py
@@ -13,10 +13,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _ReportedBacklog:
-    """The last backlog that an endpoint's owner reported, and when it arrived."""
+    """The last backlog that an endpoint's owner reported, and when it arrived.
+
+    `backoff_until` is the time until which the endpoint wants no calls from its owner.
+    """
 
     backlog: Backlog
     reported_at: float
+    backoff_until: float
 
 
 class RemoteBacklogs:
@@ -39,9 +43,17 @@
         # Number of pieces by urgency level, for each endpoint.
         self._outstanding_counts: dict[str, list[int]] = {}
 
-    def record_report(self, endpoint: str, backlog: Backlog) -> None:
-        """Record the backlog that the owner of `endpoint` reported."""
-        self._reported[endpoint] = _ReportedBacklog(backlog, self._clock.monotonic())
+    def record_report(
+        self, endpoint: str, backlog: Backlog, backoff_s: float = 0.0
+    ) -> None:
+        """Record the backlog and the pause that the owner of `endpoint` reported."""
+        now = self._clock.monotonic()
+        self._reported[endpoint] = _ReportedBacklog(backlog, now, now + backoff_s)
+
+    def is_backing_off(self, endpoint: str) -> bool:
+        """Return whether the endpoint wants no calls from its owner now."""
+        reported = self._reported.get(endpoint)
+        return reported is not None and self._clock.monotonic() < reported.backoff_until
 
     def discard(self, endpoint: str) -> None:
         """Discard the reports for an endpoint that is gone."""
--- a/libs/gateway/sapphirehoist/gateway/stage_messages.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_messages.py
@@ -52,11 +52,14 @@
     ----------
     wait_s_by_level : tuple of float
         `Backlog.wait_s_by_level` of the endpoint before the pieces were queued.
+    backoff_s : float
+        Time for which the endpoint wants no calls from the owner.
     """
 
     KIND: ClassVar[str] = "gateway.make_accepted"
 
     wait_s_by_level: tuple[float, ...]
+    backoff_s: float = 0.0
 
 
 class ComputedNotification(PeerMessage, frozen=True, array_like=True):
@@ -74,6 +77,8 @@
         Why each piece failed; empty for a piece with a result.
     wait_s_by_level : tuple of float
         `Backlog.wait_s_by_level` of the endpoint.
+    backoff_s : float
+        Time for which the endpoint wants no calls from the owner.
     """
 
     KIND: ClassVar[str] = "gateway.made"
@@ -83,6 +88,7 @@
     handles: list[str]
     reasons: list[str]
     wait_s_by_level: tuple[float, ...]
+    backoff_s: float = 0.0
 
 
 class ReleaseNotification(PeerMessage, frozen=True, array_like=True):
--- a/libs/gateway/sapphirehoist/gateway/stage_releases.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_releases.py
@@ -7,7 +7,7 @@
 import gevent
 
 from sapphirehoist.clock import Clock
-from sapphirehoist.discovery import EndpointDirectory, EndpointRecord
+from sapphirehoist.discovery import EndpointDirectory, EndpointPhase, EndpointRecord
 from sapphirehoist.gateway.endpoint_queue import EndpointQueue, QueueDependencies
 from sapphirehoist.gateway.stage_messages import ReleaseNotification
 from sapphirehoist.http1 import EndpointResponse
@@ -77,9 +77,16 @@
                 self._forward_to_owner(endpoint, handles)
 
     def release_at_endpoint(self, endpoint: str, handles: list[str]) -> None:
-        """Ask `endpoint`, which this node owns, to release results."""
+        """Ask `endpoint`, which this node owns, to release results.
+
+        An endpoint that is leaving needs no space; one that asked for a pause is called
+        after it.
+        """
         record = self._directory.get(endpoint)
-        if record is None:
+        if record is None or record.phase is EndpointPhase.DRAINING:
+            return
+        if self._dependencies.endpoint_candidates.backoff_s(record):
+            self._pending_handles.setdefault(endpoint, []).extend(handles)
             return
         for first in range(0, len(handles), _MAX_HANDLES_PER_CALL):
             batch = handles[first : first + _MAX_HANDLES_PER_CALL]
@@ -99,7 +106,10 @@
             self._bus.notify(owner.peer_address, ReleaseNotification(endpoint, handles))
 
     def _send_release(self, record: EndpointRecord, handles: list[str]) -> None:
-        """Send one release call, without retries: unreleased results expire anyway."""
+        """Send one release call; repeat it only after a pause that is asked for.
+
+        Results that are not released expire.
+        """
         dependencies = self._dependencies
         dependencies.metrics.count("stage_results_released_total", len(handles))
         with gevent.Timeout(_RELEASE_TIMEOUT_S, False):
@@ -109,8 +119,13 @@
                 lambda head: True,
             )
             if isinstance(reply, EndpointResponse):
+                metadata = dependencies.codec.decode_reply_head(reply.head)
+                dependencies.endpoint_candidates.record_reply(record, metadata)
                 reply.read_all()
                 reply.close()
+                if metadata.retry_after_s is not None:
+                    self._pending_handles.setdefault(record.name, []).extend(handles)
+                    return
         queue = self._find_queue(record.name)
         if queue is not None:
             queue.mark_released(handles)
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -126,6 +126,7 @@
         "_pending",
         "_piece_counts",
         "_priority",
+        "_released_stages",
         "_result_endpoints",
         "_retries",
         "_route",
@@ -418,6 +419,9 @@
         return release_unused_result
 
     def _release_stage(self, stage: int) -> None:
+        if stage in self._released_stages:
+            return
+        self._released_stages.add(stage)
         for index, handle in enumerate(self._handles[stage]):
             if handle:
                 self._scheduler.release_result(
@@ -430,6 +434,7 @@
         self._result_endpoints: list[list[str]] = [
             [""] * count for count in self._piece_counts
         ]
+        self._released_stages: set[int] = set()
 
     def _is_done(self, stage: int) -> bool:
         return all(self._handles[stage])
--- a/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
@@ -92,6 +92,8 @@
         "_endpoint_policy",
         "_fleet",
         "_get_table",
+        "_owners",
+        "_owners_revision",
         "_pending_results",
         "_queues",
         "_remote_backlogs",
@@ -116,6 +118,9 @@
         self._clock: Clock = dependencies.clock
         self._endpoint_candidates: EndpointCandidates = dependencies.endpoint_candidates
         self._queues: dict[str, EndpointQueue] = {}
+        # By name and zone of the endpoint, as of `_owners_revision` of the view.
+        self._owners: dict[tuple[str, str], Member | None] = {}
+        self._owners_revision = -1
         self._remote_backlogs = RemoteBacklogs(dependencies.clock)
         self._result_releaser = ResultReleaser(
             bus, directory, self._find_owner, self._queues.get, dependencies
@@ -188,7 +193,14 @@
             if not self._endpoint_candidates.loads.is_ejected(record.name)
         ]
         others = [record for record in available if record.name != avoided_endpoint]
-        return others or available or records
+        accepting = [record for record in others if not self._is_backing_off(record)]
+        return accepting or others or available or records
+
+    def _is_backing_off(self, record: EndpointRecord) -> bool:
+        """Return whether the endpoint wants no calls from the node that owns it."""
+        if self._find_owner(record) is None:
+            return self._endpoint_candidates.backoff_s(record) > 0
+        return self._remote_backlogs.is_backing_off(record.name)
 
     def backlog(self, record: EndpointRecord) -> Backlog:
         """Return the estimated wait before `record` starts a new piece."""
@@ -268,7 +280,17 @@
         )
 
     def _find_owner(self, record: EndpointRecord) -> Member | None:
-        """Return the node that owns `record`; None if this node owns it.
+        """Return the node that owns `record`; None if this node owns it."""
+        if self._owners_revision != self._fleet.view.revision:
+            self._owners_revision = self._fleet.view.revision
+            self._owners.clear()
+        key = (record.name, record.zone)
+        if key not in self._owners:
+            self._owners[key] = self._choose_owner(record)
+        return self._owners[key]
+
+    def _choose_owner(self, record: EndpointRecord) -> Member | None:
+        """Return the owner of `record`; None if it is this node.
 
         The owner is chosen among the serving nodes at the smallest distance. Without
         any serving node, this node owns the endpoint.
@@ -337,7 +359,7 @@
                 self._handle_unresponsive_owner(owner, record, pieces, requested_at)
                 return
             self._remote_backlogs.record_report(
-                record.name, Backlog(accepted.wait_s_by_level)
+                record.name, Backlog(accepted.wait_s_by_level), accepted.backoff_s
             )
             notification = self._wait_for_results(
                 results_future, owner, first.expires_at
@@ -416,7 +438,7 @@
         ]
         queue = self._get_or_create_queue(record)
         backlog = queue.backlog()
-        accepted = ComputeAccepted(backlog.wait_s_by_level)
+        accepted = ComputeAccepted(backlog.wait_s_by_level, queue.backoff_s())
         queue.submit(pieces)
         gevent.spawn(self._send_results, sender, request, pieces, queue)
         return accepted
@@ -444,6 +466,7 @@
             handles,
             reasons,
             backlog.wait_s_by_level,
+            queue.backoff_s(),
         )
         sender_state = self._fleet.view.get(sender)
         if sender_state is None or sender_state.member is None:
@@ -455,7 +478,9 @@
 
     def _handle_computed(self, sender: str, notification: ComputedNotification) -> None:
         self._remote_backlogs.record_report(
-            notification.endpoint, Backlog(notification.wait_s_by_level)
+            notification.endpoint,
+            Backlog(notification.wait_s_by_level),
+            notification.backoff_s,
         )
         results_future = self._pending_results.get(notification.correlation_id)
         if results_future is not None:
@@ -479,7 +504,7 @@
         """Fail the queued pieces of a departing endpoint so that they are retried."""
         if departure.phase is EndpointPhase.GONE:
             self._remote_backlogs.discard(record.name)
-            self._endpoint_candidates.loads.discard_if_idle(record.name)
+            self._endpoint_candidates.discard(record.name)
         queue = self._queues.get(record.name)
         if queue is None:
             return
--- a/libs/gateway/sapphirehoist/gateway/tests/test_stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/tests/test_stage_queue.py
@@ -8,6 +8,7 @@
 
 from sapphirehoist.clock import ManualClock
 from sapphirehoist.decisions import (
+    EndpointBackoff,
     EndpointLoads,
     SharedRetryBudget,
     UrgentFirstBatching,
@@ -43,7 +44,11 @@
     metrics = Metrics()
     directory = EndpointDirectory(clock, metrics)
     candidates = EndpointCandidates(
-        "zone-a", {"zone-a": "region-a"}, directory, EndpointLoads(clock)
+        "zone-a",
+        {"zone-a": "region-a"},
+        directory,
+        EndpointLoads(clock),
+        EndpointBackoff(clock),
     )
     # No call is sent, so connections and codec are not used.
     unused: Any = None
--- a/libs/membership/sapphirehoist/membership/view.py
+++ b/libs/membership/sapphirehoist/membership/view.py
@@ -17,6 +17,11 @@
     cannot add the same incarnation again. Digests leave it out, so that nodes may drop
     it at different times.
 
+    Attributes
+    ----------
+    revision : int
+        Number of changes so far; values derived from the view may be cached by it.
+
     Examples
     --------
     >>> view = MemberView()
@@ -29,11 +34,13 @@
     False
     """
 
-    __slots__ = ("_bucket_digests", "_updates")
+    __slots__ = ("_bucket_digests", "_members_by_statuses", "_updates", "revision")
 
     def __init__(self) -> None:
+        self.revision = 0
         self._updates: dict[str, MemberUpdate] = {}
         self._bucket_digests = [0] * BUCKET_COUNT
+        self._members_by_statuses: dict[tuple[Status, ...], list[Member]] = {}
 
     def merge(self, update: MemberUpdate) -> bool:
         """Apply `update` if it overrides the known one; return whether it did.
@@ -60,6 +67,7 @@
         self._toggle_digest(known)
         self._updates[update.vm] = merged
         self._toggle_digest(merged)
+        self._record_change()
         return True
 
     def get(self, vm: str) -> MemberUpdate | None:
@@ -72,16 +80,22 @@
 
     def members(self, *statuses: Status) -> list[Member]:
         """Return the members whose status is one of `statuses`, ordered by VM."""
-        matching = [
-            u for u in self._updates.values() if u.status in statuses and u.member
-        ]
-        return [u.member for u in sorted(matching, key=lambda u: u.vm) if u.member]
+        members = self._members_by_statuses.get(statuses)
+        if members is None:
+            matching = [
+                u for u in self._updates.values() if u.status in statuses and u.member
+            ]
+            matching.sort(key=lambda u: u.vm)
+            members = [u.member for u in matching if u.member]
+            self._members_by_statuses[statuses] = members
+        return members.copy()
 
     def remove_gone(self, vm: str) -> None:
         """Remove `vm` from the view if it is gone; otherwise do nothing."""
         known = self._updates.get(vm)
         if known is not None and known.status is Status.GONE:
             del self._updates[vm]
+            self._record_change()
 
     def bucket_digests(self) -> list[int]:
         """Return the digest of each bucket of members, by bucket index."""
@@ -97,6 +111,10 @@
             u for u in self._updates.values() if _bucket_index(u.vm) in bucket_indexes
         ]
 
+    def _record_change(self) -> None:
+        self.revision += 1
+        self._members_by_statuses.clear()
+
     def _toggle_digest(self, update: MemberUpdate | None) -> None:
         """Add `update` to the digest of its bucket, or remove it, by exclusive or."""
         if update is not None and update.status is not Status.GONE:
