Use a hash that is not linear in digests of sets

Cause: the digest of the fleet's view is the xor of checksums of its members. CRC is linear: where two members of one bucket changed in the same way, such as both starting to serve before anybody heard them, the digest stayed equal and was never reconciled. Ruled out: processor time, load of the machine. The digest of endpoint statuses had the same flaw. Nodes of the two builds find their views different for as long as both run.

--- a/libs/endpoints/sapphirehoist/endpoints/statuses.py
+++ b/libs/endpoints/sapphirehoist/endpoints/statuses.py
@@ -9,10 +9,10 @@
 
 from enum import IntEnum
 from typing import ClassVar
-from zlib import crc32
 
 from sapphirehoist.endpoints.client import EndpointReport
 from sapphirehoist.membership import Digest, Fleet, Member
+from sapphirehoist.messages import element_digest
 from sapphirehoist.observability import Metrics, Timeline
 from sapphirehoist.peers import NoReply, PeerBus, PeerMessage
 
@@ -178,7 +178,7 @@
     def _toggle_in_digest(self, update: EndpointUpdate | None) -> None:
         """Add an update to the XOR digest, or remove one that it contains."""
         if update is not None:
-            self._digest ^= crc32(f"{update.endpoint} {update.precedence()}".encode())
+            self._digest ^= element_digest(f"{update.endpoint} {update.precedence()}")
 
     def _read_digest(self) -> int:
         return self._digest
--- a/libs/membership/sapphirehoist/membership/view.py
+++ b/libs/membership/sapphirehoist/membership/view.py
@@ -5,7 +5,7 @@
 from zlib import crc32
 
 from sapphirehoist.membership.member import Member, MemberUpdate, Status
-from sapphirehoist.messages import encode_msgpack
+from sapphirehoist.messages import element_digest, encode_msgpack
 
 BUCKET_COUNT = 32
 
@@ -120,8 +120,8 @@
         if update is not None and update.status is not Status.GONE:
             # Nodes compare digests, so this text, including the names in `Status`, has
             # to be the same on every node.
-            state = f"{update.vm} {update.precedence()}".encode()
-            self._bucket_digests[_bucket_index(update.vm)] ^= crc32(state)
+            state = f"{update.vm} {update.precedence()}"
+            self._bucket_digests[_bucket_index(update.vm)] ^= element_digest(state)
 
 
 def _bucket_index(vm: str) -> int:
--- a/libs/messages/sapphirehoist/messages/__init__.py
+++ b/libs/messages/sapphirehoist/messages/__init__.py
@@ -9,11 +9,13 @@
     encode_json,
     encode_msgpack,
 )
+from sapphirehoist.messages.set_digest import element_digest
 
 __all__ = [
     "MalformedMessage",
     "decode_json",
     "decode_msgpack",
+    "element_digest",
     "encode_json",
     "encode_msgpack",
 ]
