Meet faulty replies: late copies, trickling stalls, slow streams, last callers

A late refusal without an id on a reused connection counted as the reply, so that a booking ran and was sent elsewhere. The limit for a request's head applied to each read. A planned stop ended while a request was still arriving. Change: replies on reused connections need the request's id. stall_timeout_s (decisions) derives the limit from the caller's own; it counts from the last whole event, applies only where another engine can continue, and comments are no events. A head has one limit. A stop waits for requests that are being received, also after the listener is closed.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -58,6 +58,7 @@
     RoutingCandidate,
     RoutingPolicy,
 )
+from sapphirehoist.decisions.stalled_streams import stall_timeout_s
 from sapphirehoist.decisions.subset import endpoint_subset, rendezvous_score
 from sapphirehoist.decisions.team_shares import TeamShares
 
@@ -109,5 +110,6 @@
     "UrgentFirstBatching",
     "endpoint_subset",
     "rendezvous_score",
+    "stall_timeout_s",
     "urgency_level",
 ]
--- a/libs/decisions/sapphirehoist/decisions/retry_budget.py
+++ b/libs/decisions/sapphirehoist/decisions/retry_budget.py
@@ -99,13 +99,17 @@
 
     def try_acquire(self, service: str) -> bool:
         """Return whether the budget allows a retry at `service`, and count it if so."""
-        now = self._clock.monotonic()
-        retries = self._retries.setdefault(service, _SlidingWindow(self._window_s))
-        if retries.count(now) + 1 > self.retry_limit(service):
+        if not self.is_available(service):
             return False
-        retries.add(now)
+        self._retries[service].add(self._clock.monotonic())
         return True
 
+    def is_available(self, service: str) -> bool:
+        """Return whether the budget allows a retry at `service` now."""
+        retries = self._retries.setdefault(service, _SlidingWindow(self._window_s))
+        used = retries.count(self._clock.monotonic())
+        return used + 1 <= self.retry_limit(service)
+
     def retry_limit(self, service: str) -> float:
         """Return the number of retries that this node may send in a window."""
         now = self._clock.monotonic()
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -14,6 +14,7 @@
     PlacementPolicy,
     PlacementRequest,
     SharedRetryBudget,
+    stall_timeout_s,
 )
 from sapphirehoist.discovery import EndpointRecord
 from sapphirehoist.gateway.attempt_outcome import (
@@ -67,8 +68,6 @@
 # short; the share of the remaining time limits both.
 _FIRST_EVENT_TARGET_MULTIPLE = 1.5
 _MIN_FIRST_EVENT_TIMEOUT_S = 2.0
-# Callers abandon a stream after a longer gap between two events.
-_EVENT_GAP_TIMEOUT_S = 2.5
 # With less time remaining, an endpoint could not answer before the deadline.
 _MIN_REMAINING_S = 0.02
 _RETRY_AFTER_S = 0.25
@@ -340,7 +339,9 @@
             reply = self._connections.call(
                 record.address,
                 outbound,
-                lambda reply_head: self._is_reply_to(reply_head, context.metadata),
+                lambda reply_head, is_reused: self._is_reply_to(
+                    reply_head, is_reused, context.metadata
+                ),
                 None if context.route.is_idempotent else _NON_IDEMPOTENT_MAX_IDLE_S,
             )
             if isinstance(reply, NotSent):
@@ -369,16 +370,20 @@
         progress.pending_prefill_tokens = 0
 
     def _is_reply_to(
-        self, reply_head: ResponseHead, request_metadata: RequestMetadata
+        self,
+        reply_head: ResponseHead,
+        is_reused: bool,
+        request_metadata: RequestMetadata,
     ) -> bool:
         """Return whether a reply belongs to this request.
 
-        An endpoint that did not execute a request may omit the request id.
+        An endpoint that did not execute a request may omit the request id. On a reused
+        connection such a reply may be a late copy of the reply to an earlier request.
         """
         reply_metadata = self._codec.decode_reply_head(reply_head)
         if reply_metadata.request_id:
             return reply_metadata.request_id == request_metadata.request_id
-        return reply_metadata.is_not_run
+        return reply_metadata.is_not_run and not is_reused
 
     def _outbound_request(
         self,
@@ -486,8 +491,9 @@
     ) -> _AttemptResult:
         """Forward the events of a streamed reply to the caller."""
         relay = progress.relay
+        last_event_at: float | None = None
         while True:
-            chunk = reply.read_block()
+            chunk = self._read_stream_block(context, reply, progress, last_event_at)
             if isinstance(chunk, TruncatedBody):
                 relay.discard_partial()
                 outcome = (
@@ -497,6 +503,7 @@
             if not chunk:
                 break
             if relay.forward(head, chunk):
+                last_event_at = self._clock.monotonic()
                 self._end_prefill(record.name, progress)
                 trace.event_count = relay.event_count
                 if trace.first_event_s is None:
@@ -505,8 +512,6 @@
                 if inputs is not None and not inputs.is_released:
                     # The first event shows that the engine has read its inputs.
                     inputs.release()
-                if context.route.is_idempotent:
-                    reply.set_read_timeout(_EVENT_GAP_TIMEOUT_S)
         if relay.has_partial:
             relay.discard_partial()
             outcome = AttemptOutcome.BROKEN if relay.is_started else AttemptOutcome.LOST
@@ -515,6 +520,54 @@
             )
         return _AttemptResult(AttemptOutcome.ANSWERED, "", head)
 
+    def _read_stream_block(
+        self,
+        context: RequestContext,
+        reply: EndpointResponse,
+        progress: RequestProgress,
+        last_event_at: float | None,
+    ) -> bytes | TruncatedBody:
+        """Read a block of a stream; report one that has stalled as truncated.
+
+        A stream has stalled if no event was completed for too long, even if single
+        bytes arrive, and if another engine can continue it.
+        """
+        caller_timeout_s = context.route.first_event_timeout_s
+        if (
+            last_event_at is None
+            or caller_timeout_s is None
+            or not context.route.is_idempotent
+        ):
+            return reply.read_block()
+        while True:
+            now = self._clock.monotonic()
+            stall_s = stall_timeout_s(
+                caller_timeout_s,
+                context.route.event_gap_target_s,
+                context.response_limit_at - last_event_at,
+            )
+            may_move = self._may_retry(context, progress)
+            if now - last_event_at >= stall_s and may_move:
+                return TruncatedBody(f"no event for {now - last_event_at:.2f} s")
+            wait_s = last_event_at + stall_s - now
+            timeout = gevent.Timeout(wait_s if wait_s > 0 else stall_s)
+            try:
+                with timeout:
+                    return reply.read_block()
+            except gevent.Timeout as exc:
+                if exc is not timeout:
+                    raise
+
+    def _may_retry(self, context: RequestContext, progress: RequestProgress) -> bool:
+        """Return whether another endpoint may be tried after the present attempt."""
+        service = context.service
+        return (
+            context.route.is_idempotent
+            and progress.send_count + 1 < context.route.max_attempts
+            and bool(self._endpoints.candidates(service, progress.tried_endpoints))
+            and self._retry_budget.is_available(service.name)
+        )
+
     def _record_result(
         self,
         context: RequestContext,
--- a/libs/gateway/sapphirehoist/gateway/endpoint_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/endpoint_queue.py
@@ -344,7 +344,7 @@
             reply = self._dependencies.connections.call(
                 self.record.address,
                 self._dependencies.codec.encode_stage_call(self.record, piece_requests),
-                lambda head: True,
+                lambda head, is_reused: True,
                 max_idle_s=0.0,
             )
             if not isinstance(reply, EndpointResponse):
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -275,17 +275,24 @@
         clock.sleep(_ADDRESS_CACHE_TTL_MULTIPLE * self.settings.answer_ttl_s)
         self._is_rejecting_requests = True
         self._caller_server.begin_closing()
-        while clock.monotonic() < end_at and self.handler.in_flight_count:
-            clock.sleep(_DRAIN_POLL_INTERVAL_S)
+        self._wait_for_callers(end_at)
+        self._caller_server.stop()
+        # Connections that were accepted last may still be sending their request.
+        self._wait_for_callers(end_at)
         _logger.info(
             "graceful shutdown completed",
             extra={"cut_off": self.handler.in_flight_count},
         )
-        self._caller_server.stop()
         with gevent.Timeout(_SHUTDOWN_MARGIN_S / 2, False):
             self._peer_discovery.remove_own_row()
         self.fleet.announce_gone()
 
+    def _wait_for_callers(self, end_at: float) -> None:
+        """Wait until no request is being received or answered, at most to `end_at`."""
+        clock = self._dependencies.clock
+        while clock.monotonic() < end_at and self._caller_server.active_count:
+            clock.sleep(_DRAIN_POLL_INTERVAL_S)
+
     def kill(self) -> None:
         """Stop all tasks immediately, like a crash, without leaving the fleet."""
         for task in self._tasks:
--- a/libs/gateway/sapphirehoist/gateway/relay.py
+++ b/libs/gateway/sapphirehoist/gateway/relay.py
@@ -7,6 +7,7 @@
 from sapphirehoist.http1 import Exchange, ResponseHead
 
 _EVENT_SEPARATOR = b"\n\n"
+_COMMENT_START = b":"
 
 
 class EventRelay:
@@ -70,6 +71,8 @@
     def forward(self, head: ResponseHead, chunk: bytes) -> int:
         """Forward the events that `chunk` completes and return their number.
 
+        Comments are forwarded too, but are not counted as events.
+
         Parameters
         ----------
         head : ResponseHead
@@ -83,7 +86,10 @@
             self._partial = data
             return 0
         whole_events, self._partial = data[:completed_end], data[completed_end:]
-        completed_count = whole_events.count(_EVENT_SEPARATOR)
+        completed_count = sum(
+            not block.startswith(_COMMENT_START)
+            for block in whole_events.split(_EVENT_SEPARATOR)[:-1]
+        )
         previous_separator = whole_events[:-2].rfind(_EVENT_SEPARATOR)
         last_event = (
             whole_events[previous_separator + len(_EVENT_SEPARATOR) :]
--- a/libs/gateway/sapphirehoist/gateway/stage_releases.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_releases.py
@@ -116,7 +116,7 @@
             reply = dependencies.connections.call(
                 record.address,
                 dependencies.codec.encode_release_call(handles),
-                lambda head: True,
+                lambda head, is_reused: True,
             )
             if isinstance(reply, EndpointResponse):
                 metadata = dependencies.codec.decode_reply_head(reply.head)
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -67,7 +67,9 @@
     body: bytes = b""
 
 
-ResponseMatcher = Callable[[ResponseHead], bool]
+# Called with the head of a response and whether the connection has served other
+# requests before, whose late responses may still arrive.
+ResponseMatcher = Callable[[ResponseHead, bool], bool]
 
 
 class EndpointResponse:
@@ -89,10 +91,6 @@
         """Return the next bytes of the body, or empty bytes at its end."""
         return self._conn.read_block()
 
-    def set_read_timeout(self, timeout_s: float) -> None:
-        """Report the body as truncated if no bytes arrive for `timeout_s`."""
-        self._conn.set_read_timeout(timeout_s)
-
     def read_all(self) -> bytes | TruncatedBody:
         """Return the whole body."""
         blocks = []
@@ -137,6 +135,7 @@
         "_address",
         "_has_mismatched_response",
         "_is_matching",
+        "_is_reused",
         "_method",
         "_on_idle",
         "_parser",
@@ -160,6 +159,7 @@
         self._parser = _new_parser()
         self._send_task: gevent.Greenlet | None = None
         self._has_mismatched_response = False
+        self._is_reused = False
         self.is_closed = False
         self.idle_since = 0.0
         self.idle_limit_s = _DEFAULT_IDLE_LIMIT_S
@@ -203,10 +203,6 @@
             return bytes(event.data)
         return b""
 
-    def set_read_timeout(self, timeout_s: float) -> None:
-        """Report the body as truncated if no bytes arrive for `timeout_s`."""
-        self._sock.settimeout(timeout_s)
-
     def finish(self) -> None:
         """Make the connection reusable if the exchange is complete, else close it."""
         if self.is_closed:
@@ -223,7 +219,7 @@
             self.close()
             return
         self._parser.start_next_cycle()
-        self._sock.settimeout(None)
+        self._is_reused = True
         self._send_task = None
         self._on_idle(self)
 
@@ -256,7 +252,7 @@
                 self.close()
                 return Lost(f"{self._address}: closed without an answer")
             head = _to_response_head(event)
-            if self._is_matching(head):
+            if self._is_matching(head, self._is_reused):
                 self._apply_keep_alive_timeout(head)
                 return EndpointResponse(head, self)
             self._has_mismatched_response = True
@@ -334,7 +330,8 @@
         request : OutboundRequest
             Request to send.
         is_matching : callable
-            Returns whether a response head belongs to this request.
+            Returns whether a response head belongs to this request; also receives
+            whether the connection has served other requests before.
         max_idle_s : float, optional
             Limit on the idle time of a reused connection in seconds, in addition to the
             connection's own limit; for requests that must not be sent while the peer
--- a/libs/http1/sapphirehoist/http1/server.py
+++ b/libs/http1/sapphirehoist/http1/server.py
@@ -57,7 +57,10 @@
 
     @property
     def header_timeout_s(self) -> float:
-        """Return the longest time in seconds between received parts of a request."""
+        """Return the longest time in seconds from the first byte of a head to its end.
+
+        The same limit applies between received parts of a body.
+        """
 
     @property
     def idle_timeout_s(self) -> float:
@@ -197,6 +200,11 @@
         """Start accepting connections."""
         self._server.start()
 
+    @property
+    def active_count(self) -> int:
+        """Return the number of requests that are being received or answered."""
+        return sum(conn.is_active for conn in self._connections)
+
     def begin_closing(self) -> None:
         """Close idle connections now and the others after their next response."""
         self.is_closing = True
@@ -272,9 +280,14 @@
             self._read_task.kill(block=False)
             self._sock.close()
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether a request is being received or answered."""
+        return not self._is_idle or bool(self._received_blocks)
+
     def close_if_idle(self) -> None:
         """Close unless a request is being received or handled."""
-        if self._is_idle and not self._received_blocks:
+        if not self.is_active:
             self._sock.shutdown(socket.SHUT_RD)
 
     def send_head(
@@ -369,7 +382,7 @@
                         status_code=100, headers=[]
                     )
                     self._write(self._parser.send(continue_response) or b"")
-                invalid = self._feed_parser(limits, has_request_begun=not self._is_idle)
+                invalid = self._feed_parser(limits, is_head_complete=head is not None)
                 if invalid is not None:
                     return invalid
             elif isinstance(event, h11.Request):
@@ -393,18 +406,22 @@
                 return _InvalidRequest(0, "closed by the caller")
 
     def _feed_parser(
-        self, limits: ReadLimits, has_request_begun: bool
+        self, limits: ReadLimits, is_head_complete: bool
     ) -> _InvalidRequest | None:
         """Wait for the next received block and pass it to the parser."""
-        has_request_begun = has_request_begun or self._first_byte_at > 0
-        timeout_s = (
+        has_request_begun = not self._is_idle
+        limit_s = (
             limits.header_timeout_s if has_request_begun else limits.idle_timeout_s
         )
+        started_at = self._clock.monotonic()
+        if has_request_begun and not is_head_complete:
+            started_at = self._first_byte_at
         while not self._received_blocks and not self._is_eof:
             self._has_input.clear()
-            if not self._has_input.wait(timeout_s):
+            timeout_s = started_at + limit_s - self._clock.monotonic()
+            if timeout_s <= 0 or not self._has_input.wait(timeout_s):
                 status = _STATUS_REQUEST_TIMEOUT if has_request_begun else 0
-                return _InvalidRequest(status, f"nothing received for {timeout_s} s")
+                return _InvalidRequest(status, f"not received within {limit_s} s")
         if not self._received_blocks:
             self._parser.receive_data(b"")
             return None
--- a/libs/http1/sapphirehoist/http1/tests/test_client.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_client.py
@@ -65,7 +65,7 @@
     return EndpointConnectionPool(SystemClock(), Metrics())
 
 
-def is_matching(head: ResponseHead) -> bool:
+def is_matching(head: ResponseHead, is_reused: bool) -> bool:
     return head.headers.get("X-Id") == "own"
 
 
--- a/libs/http1/sapphirehoist/http1/tests/test_server.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import gevent
@@ -168,6 +169,30 @@
     def test_head_timeout(self, running_server: RunningServer) -> None:
         assert b" 408 " in running_server.exchange(b"GET /a HTTP/1.1\r\nHos")
 
+    def test_head_that_arrives_byte_by_byte(
+        self, running_server: RunningServer
+    ) -> None:
+        """Each byte arrives in time, but the whole head does not."""
+        head = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Long: " + b"x" * 60
+        with running_server.connect() as sock:
+            sock.settimeout(0.05)
+            for byte in head:
+                sock.sendall(bytes([byte]))
+                with suppress(TimeoutError):
+                    assert sock.recv(65_536).startswith(b"HTTP/1.1 408")
+                    return
+        raise AssertionError("the whole head could be sent")
+
+    def test_long_body_that_arrives_in_parts(
+        self, running_server: RunningServer
+    ) -> None:
+        with running_server.connect() as sock:
+            sock.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n")
+            for _ in range(8):
+                gevent.sleep(0.1)
+                sock.sendall(b"x")
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 200")
+
 
 class TestResponses:
     def test_aborted_response_does_not_look_complete(
