Take only replies that are proved to belong to a call in the daemon

A late copy of an earlier refusal on a reused connection was taken for the refusal of the present call, so that a call that ran was reported as not run and its claim released. A body without a length, broken off by the crash of its endpoint, looked complete. A stalled stream that sent a byte now and then was read for ever. Change: replies of every status must carry the call's request id, stage and attempt; the stand-ins send them in refusals too. A success needs a body with a defined end. A stream has one deadline, measured on the clock.

--- a/libs/endpoints/sapphirehoist/endpoints/http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 
+import gevent
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
@@ -14,6 +15,7 @@
     ReadTimeoutError,
 )
 
+from sapphirehoist.clock import Clock
 from sapphirehoist.configuration import Endpoint
 from sapphirehoist.endpoints.client import (
     Answered,
@@ -68,11 +70,18 @@
 
 
 class HttpEndpointClient(EndpointClient):
-    """HTTP client of endpoints, with separate connection pools for streams."""
+    """HTTP client of endpoints, with separate connection pools for streams.
 
-    __slots__ = ("_pool_manager", "_stream_pool_manager")
+    Parameters
+    ----------
+    clock : Clock
+        Measures the time that streams have left.
+    """
+
+    __slots__ = ("_clock", "_pool_manager", "_stream_pool_manager")
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._pool_manager = urllib3.PoolManager(
             num_pools=_MAX_POOLS, maxsize=_MAX_CONNECTIONS_PER_POOL, retries=False
         )
@@ -102,11 +111,15 @@
         except HTTPError as exc:
             return Lost(f"{endpoint.name}: {exc}")
         report = _parse_report(resp)
-        if resp.status != _STATUS_OK:
-            return _classify_error_status(endpoint, resp.status, body, report)
+        # A late copy of the reply to an earlier call may arrive on its connection. As a
+        # refusal, it would state that this call did not run.
         mismatch = _describe_mismatch(resp, call)
         if mismatch:
             return Lost(f"{endpoint.name}: {mismatch}")
+        if resp.status != _STATUS_OK:
+            return _classify_error_status(endpoint, resp.status, body, report)
+        if not _has_framed_body(resp):
+            return Lost(f"{endpoint.name}: the end of the answer is not known")
         return Answered(body, report)
 
     def open_stream(
@@ -119,13 +132,12 @@
         resp = self._send_request(
             "POST", url, headers, call.body, call.timeout_s, self._stream_pool_manager
         )
-        stream = _build_stream(endpoint, resp)
-        if isinstance(stream, HttpStream):
-            mismatch = _describe_mismatch(stream.resp, call)
+        if isinstance(resp, urllib3.BaseHTTPResponse):
+            mismatch = _describe_mismatch(resp, call)
             if mismatch:
-                stream.close()
+                resp.close()
                 return Lost(f"{endpoint.name}: {mismatch}")
-        return stream
+        return self._build_stream(endpoint, resp, call.timeout_s)
 
     def resume_stream(
         self, endpoint: Endpoint, resume: StreamResumeCall
@@ -135,7 +147,7 @@
         resp = self._send_request(
             "GET", url, {}, None, resume.timeout_s, self._stream_pool_manager
         )
-        return _build_stream(endpoint, resp)
+        return self._build_stream(endpoint, resp, resume.timeout_s)
 
     def cancel(self, endpoint: Endpoint, request_id: str) -> None:
         """Ask the endpoint to cancel its work on a request."""
@@ -144,6 +156,23 @@
         if isinstance(resp, urllib3.BaseHTTPResponse):
             resp.release_conn()
 
+    def _build_stream(
+        self,
+        endpoint: Endpoint,
+        resp: urllib3.BaseHTTPResponse | NotSent | Lost | TimedOut,
+        timeout_s: float,
+    ) -> HttpStream | NotSent | Refused | Lost | TimedOut:
+        if not isinstance(resp, urllib3.BaseHTTPResponse):
+            return resp
+        if resp.status == _STATUS_OK:
+            return HttpStream(endpoint.name, resp, self._clock, timeout_s)
+        report = _parse_report(resp)
+        try:
+            body = resp.data
+        except HTTPError as exc:
+            return Lost(f"{endpoint.name}: {exc}")
+        return _classify_error_status(endpoint, resp.status, body, report)
+
     def _send_request(
         self,
         method: str,
@@ -175,11 +204,33 @@
 
 
 class HttpStream(Stream):
-    """Open HTTP response that carries server-sent events."""
+    """Open HTTP response that carries server-sent events.
+
+    The stream is broken once its time has passed, even if single bytes still arrive.
+
+    Parameters
+    ----------
+    endpoint_name : str
+        Name of the endpoint, for details of failures.
+    resp : urllib3.BaseHTTPResponse
+        Response whose body has not been read.
+    clock : Clock
+        Measures the time that the stream has left.
+    timeout_s : float
+        Longest time until the end of the stream, in seconds.
+    """
 
-    __slots__ = ("_endpoint_name", "resp", "report", "stream_id")
+    __slots__ = ("_clock", "_deadline", "_endpoint_name", "resp", "report", "stream_id")
 
-    def __init__(self, endpoint_name: str, resp: urllib3.BaseHTTPResponse) -> None:
+    def __init__(
+        self,
+        endpoint_name: str,
+        resp: urllib3.BaseHTTPResponse,
+        clock: Clock,
+        timeout_s: float,
+    ) -> None:
+        self._clock = clock
+        self._deadline = clock.monotonic() + timeout_s
         self.resp = resp
         self.stream_id = resp.headers.get("X-Stream-Id", "")
         self.report = _parse_report(resp)
@@ -189,7 +240,10 @@
         """Yield blocks of complete events; a `StreamBroken`, if any, comes last."""
         partial = b""
         try:
-            while block := self.resp.read1(_READ_SIZE_BYTES):
+            while block := self._read_block():
+                if isinstance(block, StreamBroken):
+                    yield block
+                    return
                 block = partial + block
                 partial = b""
                 if not block.endswith(_EVENT_END):
@@ -210,6 +264,17 @@
         """Release the connection."""
         self.resp.close()
 
+    def _read_block(self) -> bytes | StreamBroken:
+        remaining_s = self._deadline - self._clock.monotonic()
+        timeout = gevent.Timeout(max(0.0, remaining_s))
+        try:
+            with timeout:
+                return self.resp.read1(_READ_SIZE_BYTES)
+        except gevent.Timeout as exc:
+            if exc is not timeout:
+                raise
+            return StreamBroken(f"{self._endpoint_name}: no time left for the stream")
+
 
 def _stage_url(endpoint: Endpoint, call: StageCall) -> str:
     return f"{endpoint.url}/v1/stages/{call.stage}"
@@ -241,6 +306,11 @@
     return f"the answer is for {received}, the call was {expected}"
 
 
+def _has_framed_body(resp: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether a body that was broken off would not look complete."""
+    return "Content-Length" in resp.headers or "Transfer-Encoding" in resp.headers
+
+
 def _parse_report(resp: urllib3.BaseHTTPResponse) -> EndpointReport:
     return EndpointReport(
         _parse_int(resp.headers.get("X-Incarnation")) or 0,
@@ -263,18 +333,3 @@
     if status < 500:
         return Refused(detail, is_busy=False, report=report)
     return Lost(detail)
-
-
-def _build_stream(
-    endpoint: Endpoint, resp: urllib3.BaseHTTPResponse | NotSent | Lost | TimedOut
-) -> HttpStream | NotSent | Refused | Lost | TimedOut:
-    if not isinstance(resp, urllib3.BaseHTTPResponse):
-        return resp
-    if resp.status == _STATUS_OK:
-        return HttpStream(endpoint.name, resp)
-    report = _parse_report(resp)
-    try:
-        body = resp.data
-    except HTTPError as exc:
-        return Lost(f"{endpoint.name}: {exc}")
-    return _classify_error_status(endpoint, resp.status, body, report)
--- a/libs/node/sapphirehoist/node/dependencies.py
+++ b/libs/node/sapphirehoist/node/dependencies.py
@@ -55,13 +55,14 @@
         """Return the production dependencies: system clock, ZeroMQ and HTTP clients."""
         peers = settings.peers
         curve_keys = CurveKeys(peers.public_key, peers.secret_key)
+        clock = SystemClock()
         return cls(
-            SystemClock(),
+            clock,
             Random(),
             lambda: uuid4().hex,
             ZmqTransport(peers.listen, curve_keys),
             HttpTableService(settings.platform.table),
             HttpObjectStore(settings.platform.objects),
             HttpVmList(settings.platform.vms),
-            HttpEndpointClient(),
+            HttpEndpointClient(clock),
         )
--- a/libs/testing/sapphirehoist/standins/engine.py
+++ b/libs/testing/sapphirehoist/standins/engine.py
@@ -155,12 +155,13 @@
     def _run_stage(self, stage: str) -> HTTPResponse:
         if self._drop:
             drop_connection()
+        request_id = request.get_header("X-Request-Id")
         if self._leaving:
-            return HTTPResponse("leaving", 503, self._state_headers())
+            headers = self._response_headers(stage, request_id)
+            return HTTPResponse("leaving", 503, headers)
         body = request.body.read()
         if self._wrong_id:
             body = b"another request"
-        request_id = request.get_header("X-Request-Id")
         tokens = generate_tokens(body) if self._generates else [""]
         job = _Job(request_id, stage, tokens)
         job.is_prefix_cached = self._prefix_cache.access(body)
--- a/libs/testing/sapphirehoist/standins/service.py
+++ b/libs/testing/sapphirehoist/standins/service.py
@@ -38,14 +38,17 @@
     def _run_stage(self, stage: str) -> HTTPResponse:
         body = request.body.read()
         request_id = request.get_header("X-Request-Id")
-        state_headers = {
+        headers = {
             "X-Incarnation": str(self._incarnation),
             "X-Leaving": str(int(self._leaving)),
+            "X-Request-Id": request_id,
+            "X-Stage": stage,
+            "X-Attempt": request.get_header("X-Attempt"),
         }
         if self._leaving:
-            return HTTPResponse("leaving", 503, state_headers)
+            return HTTPResponse("leaving", 503, headers)
         if self._refuse:
-            return HTTPResponse("refused", 409, state_headers)
+            return HTTPResponse("refused", 409, headers)
         if self._delay_s:
             gevent.sleep(self._delay_s)
         self._executions.append(
@@ -60,12 +63,6 @@
         if self._drop_answers:
             self._drop_answers -= 1
             drop_connection()
-        headers = {
-            **state_headers,
-            "X-Request-Id": request_id,
-            "X-Stage": stage,
-            "X-Attempt": request.get_header("X-Attempt"),
-        }
         response_body = f"{stage} {len(self._executions)}: {body.decode()}"
         return HTTPResponse(response_body.encode(), 200, headers)
 
