Prefer the most capable VMs for callers and as owners of stage endpoints

Cause: on the grown and large sites nine of ten VMs have a quarter of the processor and a tenth of the link of the others, but callers and stage endpoints were spread over all alike; each VM saw two requests a second and knew little of the endpoints.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -27,6 +27,7 @@
     UrgentFirstBatching,
     urgency_level,
 )
+from sapphirehoist.decisions.capacity import most_capable
 from sapphirehoist.decisions.class_statistics import ClassStatistics
 from sapphirehoist.decisions.endpoint_backoff import MAX_BACKOFF_S, EndpointBackoff
 from sapphirehoist.decisions.endpoint_loads import EndpointLoad, EndpointLoads
@@ -109,6 +110,7 @@
     "UnlimitedRetry",
     "UrgentFirstBatching",
     "endpoint_subset",
+    "most_capable",
     "rendezvous_score",
     "stall_timeout_s",
     "urgency_level",
--- a/libs/gateway/sapphirehoist/gateway/addresses.py
+++ b/libs/gateway/sapphirehoist/gateway/addresses.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+from sapphirehoist.decisions import most_capable
 from sapphirehoist.membership import Fleet, Member
 
 # Callers pick one of the returned addresses at random. If the zone or region has fewer
@@ -32,7 +33,8 @@
     def nearest(self, region: str, zone: str) -> list[str]:
         """Return addresses of serving nodes from the smallest sufficient area.
 
-        The areas are the caller's availability zone, its region and the whole fleet.
+        The areas are the caller's availability zone, its region and the whole fleet. Of
+        unequal nodes, only the most capable ones are returned, if there are enough.
 
         Parameters
         ----------
@@ -55,6 +57,8 @@
         return self._addresses(serving)
 
     def _addresses(self, members: list[Member]) -> list[str]:
-        addresses = [member.caller_url for member in members]
+        capable = most_capable(members, lambda member: member.cores)
+        chosen = capable if len(capable) >= _MIN_ADDRESSES else members
+        addresses = [member.caller_url for member in chosen]
         self._random.shuffle(addresses)
         return addresses[:_MAX_ADDRESSES]
--- a/libs/gateway/sapphirehoist/gateway/region_read_sharing.py
+++ b/libs/gateway/sapphirehoist/gateway/region_read_sharing.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 
 from sapphirehoist.clock import Clock
-from sapphirehoist.decisions import rendezvous_score
+from sapphirehoist.decisions import most_capable, rendezvous_score
 from sapphirehoist.discovery import ReadSharing, SharedRead, TableFollower, TableRow
 from sapphirehoist.membership import Fleet, Member
 from sapphirehoist.messages import decode_msgpack, encode_msgpack
@@ -57,7 +57,7 @@
 class RegionReaders:
     """Chooses the node of this region that reads the store for the others.
 
-    It is the serving node with the best link; among equals, rendezvous hashing decides.
+    It is one of the serving nodes with the best links, chosen by rendezvous hashing.
     Nodes that report that they cannot read are left out for a while, unless all do.
 
     Parameters
@@ -158,8 +158,8 @@
                 if member.region == region and self._fleet.is_serving(member.vm)
             ]
             self._ranked_members = sorted(
-                serving,
-                key=lambda m: (m.link_mbps, rendezvous_score(region, m.vm)),
+                most_capable(serving, lambda member: member.link_mbps),
+                key=lambda member: rendezvous_score(region, member.vm),
                 reverse=True,
             )
         return self._ranked_members
--- a/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
@@ -1,9 +1,9 @@
 """Schedules stage pieces; one node batches the pieces of all nodes for an endpoint.
 
-Each endpoint of a stage's pool is owned by one of the nearest serving nodes, chosen by
-rendezvous hashing. The owner fills batches from the pieces of all nodes and tracks the
-space that results occupy. While nodes disagree about the owner because their views of
-the fleet differ, the only effect is that batches are less full.
+Each endpoint of a stage's pool is owned by one of the most capable of the nearest
+serving nodes, chosen by rendezvous hashing. The owner fills batches from the pieces of
+all nodes and tracks the space that results occupy. While nodes disagree about the owner
+because their views of the fleet differ, the only effect is that batches are less full.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
     Distance,
     StageEndpointCandidate,
     StageEndpointPolicy,
+    most_capable,
     rendezvous_score,
 )
 from sapphirehoist.discovery import (
@@ -292,8 +293,8 @@
     def _choose_owner(self, record: EndpointRecord) -> Member | None:
         """Return the owner of `record`; None if it is this node.
 
-        The owner is chosen among the serving nodes at the smallest distance. Without
-        any serving node, this node owns the endpoint.
+        The owner is chosen among the most capable of the serving nodes at the smallest
+        distance. Without any serving node, this node owns the endpoint.
         """
         members = [
             member
@@ -312,7 +313,8 @@
         if not nearest:
             return None
         owner = max(
-            nearest, key=lambda member: rendezvous_score(record.name, member.vm)
+            most_capable(nearest, lambda member: member.cores),
+            key=lambda member: rendezvous_score(record.name, member.vm),
         )
         return None if owner.vm == self._fleet.local_member.vm else owner
 
