Log a fingerprint that copies of a request have in common

Change: request_fingerprint over method, host, path with query, team and body; computed for failed attempts only.

--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -260,6 +260,8 @@
         result = self._send_request(context, inputs, record, progress, trace)
         progress.is_attempt_in_flight = False
         duration_s = self._clock.monotonic() - started_at
+        if result.outcome is not AttemptOutcome.ANSWERED:
+            trace.fingerprint = context.fingerprint()
         trace.record_attempt(
             record.name, result.outcome, duration_s, candidate.load, result.detail
         )
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -9,6 +9,7 @@
 from sapphirehoist.gateway.codec import RequestMetadata
 from sapphirehoist.gateway.error_response import ErrorResponse
 from sapphirehoist.gateway.relay import EventRelay
+from sapphirehoist.gateway.request_fingerprint import request_fingerprint
 from sapphirehoist.http1 import CallerRequest, ResponseHead
 from sapphirehoist.routes import Route, Service
 
@@ -57,6 +58,13 @@
         generation = self.metadata.generation
         return generation.shared_part_names if generation is not None else ()
 
+    def fingerprint(self) -> str:
+        """Return a text that copies of the request have in common."""
+        head = self.request.head
+        return request_fingerprint(
+            head.method, self.metadata.host, head.target, self.team, self.request.body
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Delivered:
--- a/libs/gateway/sapphirehoist/gateway/trace.py
+++ b/libs/gateway/sapphirehoist/gateway/trace.py
@@ -30,6 +30,8 @@
         Identify the request; empty until they are known.
     prompt_parts : tuple of str
         Names of the parts of the prompt; empty for a request without a prompt.
+    fingerprint : str
+        What copies of the request have in common; empty until an attempt has failed.
     config_version : int
         Version of the configuration that was used.
     piece_count : int
@@ -54,6 +56,7 @@
         "attempt_count",
         "config_version",
         "event_count",
+        "fingerprint",
         "first_event_s",
         "forecast_s",
         "piece_count",
@@ -76,6 +79,7 @@
         self.service = ""
         self.team = ""
         self.prompt_parts: tuple[str, ...] = ()
+        self.fingerprint = ""
         self.config_version = 0
         self.piece_count = 0
         self.event_count = 0
@@ -111,6 +115,7 @@
             "attempt_ms": round(duration_s * 1000, 1),
             "estimated_load": round(load, 1),
             "elapsed_ms": round(self.elapsed_s() * 1000, 1),
+            "fingerprint": self.fingerprint,
         }
         if self.prompt_parts:
             extra["prompt_parts"] = self.prompt_parts
