Name the quarantine after crashes, and what it tells requests apart by traits

Cause: the quarantine of prompt parts has to take up other things that requests have in common; its names speak of prompts only. Change: PromptQuarantine -> CrashQuarantine, PromptQuarantineSync -> CrashQuarantineSync, PromptHold -> QuarantineHold, part -> trait in their fields. Names on the wire, metrics and log lines are unchanged; no behaviour changes.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -29,6 +29,12 @@
 )
 from sapphirehoist.decisions.capacity import most_capable
 from sapphirehoist.decisions.class_statistics import ClassStatistics
+from sapphirehoist.decisions.crash_quarantine import (
+    CrashQuarantine,
+    EngineCrash,
+    QuarantineHold,
+    QuarantineState,
+)
 from sapphirehoist.decisions.endpoint_backoff import MAX_BACKOFF_S, EndpointBackoff
 from sapphirehoist.decisions.endpoint_limits import (
     EndpointLimits,
@@ -47,12 +53,6 @@
     PredictedPlacement,
     PromptPart,
 )
-from sapphirehoist.decisions.prompt_quarantine import (
-    EngineCrash,
-    PromptHold,
-    PromptQuarantine,
-    QuarantineState,
-)
 from sapphirehoist.decisions.retries import (
     AttemptFailure,
     BudgetedRetry,
@@ -88,6 +88,7 @@
     "BudgetedRetry",
     "CallerTimeouts",
     "ClassStatistics",
+    "CrashQuarantine",
     "Distance",
     "EarliestStartPolicy",
     "EndpointBackoff",
@@ -108,9 +109,8 @@
     "PlacementPolicy",
     "PlacementRequest",
     "PredictedPlacement",
-    "PromptHold",
     "PromptPart",
-    "PromptQuarantine",
+    "QuarantineHold",
     "QuarantineState",
     "QueuedPiece",
     "RandomRouting",
--- a/libs/decisions/sapphirehoist/decisions/tests/test_prompt_quarantine.py
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_crash_quarantine.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sapphirehoist.clock import ManualClock
-from sapphirehoist.decisions import EngineCrash, PromptQuarantine, QuarantineState
+from sapphirehoist.decisions import CrashQuarantine, EngineCrash, QuarantineState
 
 HISTORY_S = 60.0
 SPACING_S = 0.5
@@ -24,14 +24,14 @@
 
 
 @pytest.fixture
-def quarantine(clock: ManualClock) -> PromptQuarantine:
-    quarantine = PromptQuarantine(clock, Random(1))
+def quarantine(clock: ManualClock) -> CrashQuarantine:
+    quarantine = CrashQuarantine(clock, Random(1))
     clock.advance(HISTORY_S)
     return quarantine
 
 
 def crash_under(
-    quarantine: PromptQuarantine,
+    quarantine: CrashQuarantine,
     clock: ManualClock,
     parts: Sequence[str],
     count: int = 3,
@@ -44,7 +44,7 @@
 
 class TestConviction:
     def test_two_crashes_are_not_enough(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         crash_under(quarantine, clock, ["a"], 2)
         assert quarantine.check(["a"]) is None
@@ -53,31 +53,31 @@
         assert quarantine.check(["b"]) is None
 
     def test_part_that_was_cleared_in_between_is_not_quarantined(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         for number in range(10):
             crash_under(quarantine, clock, ["shared", "own"], 1, first=number)
             quarantine.record_start(["shared"])
-        assert [state.part for state in quarantine.states()] == ["own"]
+        assert [state.trait for state in quarantine.states()] == ["own"]
 
     def test_reports_of_one_crash_by_several_nodes_count_once(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         for _ in range(9):
             crash_under(quarantine, clock, ["a"], 1)
         assert quarantine.check(["a"]) is None
 
     def test_echo_of_a_report_does_not_suspect_a_cleared_part_again(
-        self, quarantine: PromptQuarantine
+        self, quarantine: CrashQuarantine
     ) -> None:
         quarantine.record_crash(crash(1), ["a"])
         quarantine.record_start(["a"])
-        assert quarantine.unreported_parts(crash(1), ["a", "b"]) == ["b"]
+        assert quarantine.unreported_traits(crash(1), ["a", "b"]) == ["b"]
         quarantine.record_crash(crash(1), ["a"])
         assert not quarantine.is_suspect("a")
 
     def test_loss_of_all_engines_at_once_quarantines_nothing(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         for number in range(9):
             quarantine.record_crash(crash(number), ["a"])
@@ -85,7 +85,7 @@
         assert quarantine.check(["a"]) is None
 
     def test_part_that_started_lately_needs_five_crashes(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         quarantine.record_start(["a"])
         crash_under(quarantine, clock, ["a"], 4)
@@ -96,14 +96,14 @@
     def test_node_that_has_just_started_needs_five_crashes(
         self, clock: ManualClock
     ) -> None:
-        quarantine = PromptQuarantine(clock, Random(1))
+        quarantine = CrashQuarantine(clock, Random(1))
         crash_under(quarantine, clock, ["a"], 4)
         assert quarantine.check(["a"]) is None
         crash_under(quarantine, clock, ["a"], 1, first=4)
         assert quarantine.check(["a"]) is not None
 
     def test_old_crashes_do_not_count(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         for number in range(6):
             crash_under(quarantine, clock, ["a"], 1, first=number)
@@ -114,7 +114,7 @@
 
 class TestTrials:
     def test_single_trial_at_growing_intervals_while_trials_fail(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         crash_under(quarantine, clock, ["a"])
         trials = 0
@@ -129,7 +129,7 @@
         assert trials == 3
 
     def test_trial_of_which_no_crash_is_known_does_not_lengthen_the_interval(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         crash_under(quarantine, clock, ["a"])
         for _ in range(5):
@@ -138,7 +138,7 @@
             quarantine.begin_trial(["a"])
 
     def test_crashes_of_requests_that_were_under_way_do_not_lengthen_the_interval(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         crash_under(quarantine, clock, ["a"], 8)
         quarantine.begin_trial(["a"])
@@ -146,7 +146,7 @@
         assert quarantine.check(["a"]) is None
 
     def test_start_releases_the_part(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         crash_under(quarantine, clock, ["a"])
         released = quarantine.record_start(["a"])
@@ -156,7 +156,7 @@
         assert quarantine.check(["a"]) is None
 
     def test_request_with_two_quarantined_parts_is_no_early_trial(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         crash_under(quarantine, clock, ["a", "b"])
         clock.advance(10.0)
@@ -166,7 +166,7 @@
         assert quarantine.check(["a", "b"]) is None
 
     def test_untested_quarantine_ends(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
         crash_under(quarantine, clock, ["a"])
         clock.advance(3600.0)
@@ -177,7 +177,7 @@
 class TestReplication:
     def test_few_nodes_begin_a_trial_at_the_same_time(self, clock: ManualClock) -> None:
         random = Random(1)
-        nodes = [PromptQuarantine(clock, random) for _ in range(8)]
+        nodes = [CrashQuarantine(clock, random) for _ in range(8)]
         for node in nodes:
             node.apply(QuarantineState("a", 1))
         latency_s = 0.02
@@ -198,9 +198,9 @@
         assert sent <= 3
 
     def test_nodes_that_exchange_states_agree(
-        self, quarantine: PromptQuarantine, clock: ManualClock
+        self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
-        other = PromptQuarantine(clock, Random(1))
+        other = CrashQuarantine(clock, Random(1))
         crash_under(quarantine, clock, ["a"])
         for state in quarantine.states():
             assert other.apply(state)
@@ -211,7 +211,7 @@
         assert quarantine.check(["a"]) is None
         assert quarantine.states() == other.states()
 
-    def test_older_state_is_ignored(self, quarantine: PromptQuarantine) -> None:
+    def test_older_state_is_ignored(self, quarantine: CrashQuarantine) -> None:
         quarantine.apply(QuarantineState("a", 2))
         assert not quarantine.apply(QuarantineState("a", 1, 9, 9))
         assert quarantine.check(["a"]) is None
@@ -243,7 +243,7 @@
     also loses the sound requests that the engine was sent in the last 0.3 s.
     """
     random, clock = Random(seed), ManualClock()
-    quarantine, engines = PromptQuarantine(clock, Random(1)), _Engines(clock, 9, 4.0)
+    quarantine, engines = CrashQuarantine(clock, Random(1)), _Engines(clock, 9, 4.0)
     clock.advance(HISTORY_S)
     end_at = clock.monotonic() + 30.0
     sent: list[tuple[float, int, list[str]]] = []
--- a/libs/gateway/sapphirehoist/gateway/prompt_quarantine_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
@@ -1,7 +1,7 @@
-"""Shares the quarantine of prompt parts, and the reports that lead to it, among nodes.
+"""Shares the quarantine of crashing requests, and the reports that lead to it.
 
-Requests with a part that crashes engines arrive at any node, so that each node alone
-sees few of the crashes.
+Requests that crash engines arrive at any node, so that each node alone sees few of the
+crashes.
 """
 
 from __future__ import annotations
@@ -13,9 +13,9 @@
 import gevent
 
 from sapphirehoist.decisions import (
+    CrashQuarantine,
     EngineCrash,
-    PromptHold,
-    PromptQuarantine,
+    QuarantineHold,
     QuarantineState,
 )
 from sapphirehoist.discovery import EndpointRecord
@@ -38,57 +38,57 @@
         Endpoint name of the engine.
     born_ms : int
         Start time in milliseconds, which identifies the engine's incarnation.
-    parts : list of str
-        Prompt parts of the generations that had not started.
+    traits : list of str
+        Traits of the generations that had not started.
     """
 
     KIND: ClassVar[str] = "gateway.engine_crash"
 
     engine: str
     born_ms: int
-    parts: list[str]
+    traits: list[str]
 
 
 class StartedPartsUpdate(PeerMessage, frozen=True, array_like=True):
-    """Reports that a generation has started with prompt parts that were suspect."""
+    """Reports that a generation has started with traits that were suspect."""
 
     KIND: ClassVar[str] = "gateway.started_parts"
 
-    parts: list[str]
+    traits: list[str]
 
 
 class QuarantineUpdate(PeerMessage, frozen=True, array_like=True):
-    """Publishes the state of the quarantine of one part; see `QuarantineState`."""
+    """Publishes the state of the quarantine of one trait; see `QuarantineState`."""
 
     KIND: ClassVar[str] = "gateway.quarantine"
 
-    part: str
+    trait: str
     revision: int
     started_trials: int
     failed_trials: int
 
 
 class QuarantineRequest(PeerMessage, frozen=True, array_like=True):
-    """Requests the states of all parts that the receiver knows."""
+    """Requests the states of all traits that the receiver knows."""
 
     KIND: ClassVar[str] = "gateway.quarantine_request"
 
 
 class QuarantineReply(PeerMessage, frozen=True, array_like=True):
-    """The states of all parts that the sender knows."""
+    """The states of all traits that the sender knows."""
 
     KIND: ClassVar[str] = "gateway.quarantine_reply"
 
     updates: list[QuarantineUpdate]
 
 
-class PromptQuarantineSync:
-    """Applies what this node and its peers learn about prompt parts.
+class CrashQuarantineSync:
+    """Applies what this node and its peers learn about traits of requests.
 
     Parameters
     ----------
-    quarantine : PromptQuarantine
-        Decides which parts are quarantined.
+    quarantine : CrashQuarantine
+        Decides which traits are quarantined.
     fleet : Fleet
         Floods reports and states, and compares digests of the states.
     bus : PeerBus
@@ -106,12 +106,12 @@
         "_fleet",
         "_metrics",
         "_quarantine",
-        "_unverified_parts",
+        "_unverified_traits",
     )
 
     def __init__(
         self,
-        quarantine: PromptQuarantine,
+        quarantine: CrashQuarantine,
         fleet: Fleet,
         bus: PeerBus,
         can_connect: Callable[[str], bool],
@@ -124,51 +124,51 @@
         self._metrics = metrics
         # Parts of generations that were lost at an engine, until it is known whether
         # the engine crashed.
-        self._unverified_parts: dict[EngineCrash, list[str]] = {}
+        self._unverified_traits: dict[EngineCrash, list[str]] = {}
         fleet.add_digest(Digest("quarantine", self._read_digest, self._reconcile))
         fleet.subscribe_updates(EngineCrashReport, self._handle_crash)
         fleet.subscribe_updates(StartedPartsUpdate, self._handle_started)
         fleet.subscribe_updates(QuarantineUpdate, self._handle_state)
         bus.subscribe(QuarantineRequest, self._handle_request)
 
-    def check(self, parts: Sequence[str]) -> PromptHold | None:
-        """Return why a request with `parts` may not be sent now, or None if it may."""
-        return self._quarantine.check(parts)
+    def check(self, traits: Sequence[str]) -> QuarantineHold | None:
+        """Return why a request with `traits` may not be sent now, or None if it may."""
+        return self._quarantine.check(traits)
 
-    def begin_trial(self, parts: Sequence[str]) -> bool:
-        """Announce that a request is sent; return whether it is a trial of a part."""
-        states = self._quarantine.begin_trial(parts)
+    def begin_trial(self, traits: Sequence[str]) -> bool:
+        """Announce that a request is sent; return whether it is a trial of a trait."""
+        states = self._quarantine.begin_trial(traits)
         self._publish(states)
         if states:
             self._metrics.count("prompt_trials_total")
         return bool(states)
 
-    def record_start(self, parts: Sequence[str]) -> None:
-        """Record the first output of a generation with `parts`."""
-        suspect = [part for part in parts if self._quarantine.is_suspect(part)]
-        self._publish(self._quarantine.record_start(parts))
+    def record_start(self, traits: Sequence[str]) -> None:
+        """Record the first output of a generation with `traits`."""
+        suspect = [trait for trait in traits if self._quarantine.is_suspect(trait)]
+        self._publish(self._quarantine.record_start(traits))
         if suspect:
             self._fleet.broadcast(StartedPartsUpdate(suspect))
 
-    def record_lost(self, engine: EndpointRecord, parts: Sequence[str]) -> None:
+    def record_lost(self, engine: EndpointRecord, traits: Sequence[str]) -> None:
         """Record a generation that was lost before its first output.
 
         Its engine has crashed if it accepts no connection.
         """
-        if not parts:
+        if not traits:
             return
         crash = EngineCrash(engine.name, engine.born_ms)
-        pending = self._unverified_parts.get(crash)
+        pending = self._unverified_traits.get(crash)
         if pending is not None:
-            pending.extend(parts)
+            pending.extend(traits)
             return
-        self._unverified_parts[crash] = list(parts)
+        self._unverified_traits[crash] = list(traits)
         gevent.spawn(self._report_if_crashed, crash, engine.address)
 
-    def report_crash(self, crash: EngineCrash, parts: Sequence[str]) -> None:
+    def report_crash(self, crash: EngineCrash, traits: Sequence[str]) -> None:
         """Report to all nodes that an engine crashed before generations started."""
         report = EngineCrashReport(
-            crash.engine, crash.incarnation, list(dict.fromkeys(parts))
+            crash.engine, crash.incarnation, list(dict.fromkeys(traits))
         )
         if self._handle_crash(report):
             self._fleet.broadcast(report)
@@ -181,15 +181,15 @@
         try:
             has_crashed = not self._can_connect(address)
         finally:
-            parts = self._unverified_parts.pop(crash)
+            traits = self._unverified_traits.pop(crash)
         if has_crashed:
-            self.report_crash(crash, parts)
+            self.report_crash(crash, traits)
 
     def _handle_crash(self, report: EngineCrashReport) -> bool:
         """Apply a report; return whether it is new and has to be forwarded."""
         crash = EngineCrash(report.engine, report.born_ms)
-        new_parts = self._quarantine.unreported_parts(crash, report.parts)
-        if not new_parts:
+        new_traits = self._quarantine.unreported_traits(crash, report.traits)
+        if not new_traits:
             return False
         self._metrics.count("engine_crashes_total")
         _logger.info(
@@ -197,20 +197,20 @@
             extra={
                 "endpoint": report.engine,
                 "born_ms": report.born_ms,
-                "prompt_parts": new_parts,
+                "prompt_parts": new_traits,
             },
         )
-        self._publish(self._quarantine.record_crash(crash, new_parts))
+        self._publish(self._quarantine.record_crash(crash, new_traits))
         return True
 
     def _handle_started(self, update: StartedPartsUpdate) -> bool:
-        is_new = any(self._quarantine.is_suspect(part) for part in update.parts)
-        self._publish(self._quarantine.record_start(update.parts))
+        is_new = any(self._quarantine.is_suspect(trait) for trait in update.traits)
+        self._publish(self._quarantine.record_start(update.traits))
         return is_new
 
     def _handle_state(self, update: QuarantineUpdate) -> bool:
         state = QuarantineState(
-            update.part, update.revision, update.started_trials, update.failed_trials
+            update.trait, update.revision, update.started_trials, update.failed_trials
         )
         is_new = self._quarantine.apply(state)
         if is_new:
@@ -231,7 +231,7 @@
             if state.is_quarantined
             else "prompt part released",
             extra={
-                "prompt_part": state.part,
+                "prompt_part": state.trait,
                 "revision": state.revision,
                 "trials": state.started_trials,
                 "failed_trials": state.failed_trials,
@@ -243,7 +243,7 @@
         digest = 0
         for state in self._quarantine.states():
             if state.is_quarantined:
-                digest ^= element_digest(f"{state.part} {state.precedence()}")
+                digest ^= element_digest(f"{state.trait} {state.precedence()}")
         return digest
 
     def _reconcile(self, member: Member, remote_digest: int) -> None:
@@ -267,5 +267,5 @@
 
 def _to_update(state: QuarantineState) -> QuarantineUpdate:
     return QuarantineUpdate(
-        state.part, state.revision, state.started_trials, state.failed_trials
+        state.trait, state.revision, state.started_trials, state.failed_trials
     )
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -25,8 +25,8 @@
 )
 from sapphirehoist.gateway.candidates import EndpointCandidates
 from sapphirehoist.gateway.codec import CallCodec, ForwardingMetadata, RequestMetadata
+from sapphirehoist.gateway.crash_quarantine_sync import CrashQuarantineSync
 from sapphirehoist.gateway.error_response import ErrorReason, ErrorResponse
-from sapphirehoist.gateway.prompt_quarantine_sync import PromptQuarantineSync
 from sapphirehoist.gateway.relay import EventRelay
 from sapphirehoist.gateway.request_context import (
     Delivered,
@@ -104,7 +104,7 @@
     broadcast_prompt_parts : callable
         Schedules a broadcast to other nodes of the prompt parts that were sent to an
         engine.
-    prompt_quarantine : PromptQuarantineSync
+    crash_quarantine : CrashQuarantineSync
         Learns which prompt parts crash engines, and holds back requests with them.
     clock : Clock
         Monotonic time.
@@ -120,7 +120,7 @@
         "_endpoints",
         "_generation_placement",
         "_metrics",
-        "_prompt_quarantine",
+        "_crash_quarantine",
         "_retry_budget",
         "_service_placement",
     )
@@ -134,7 +134,7 @@
         service_placement: PlacementPolicy,
         generation_placement: GenerationPlacement,
         broadcast_prompt_parts: Callable[[list[str], str], None],
-        prompt_quarantine: PromptQuarantineSync,
+        crash_quarantine: CrashQuarantineSync,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -145,7 +145,7 @@
         self._service_placement = service_placement
         self._generation_placement = generation_placement
         self._broadcast_prompt_parts = broadcast_prompt_parts
-        self._prompt_quarantine = prompt_quarantine
+        self._crash_quarantine = crash_quarantine
         self._clock = clock
         self._metrics = metrics
 
@@ -221,14 +221,14 @@
             backoff_s,
         )
 
-    def check_prompt(self, context: RequestContext) -> ErrorResponse | None:
+    def check_quarantine(self, context: RequestContext) -> ErrorResponse | None:
         """Return an error response if a part of the prompt is quarantined."""
-        hold = self._prompt_quarantine.check(context.shared_prompt_parts)
+        hold = self._crash_quarantine.check(context.shared_prompt_parts)
         if hold is None:
             return None
         return ErrorResponse(
             ErrorReason.PROMPT_QUARANTINED,
-            f"engines crashed on requests with the prompt part {hold.part}",
+            f"engines crashed on requests with the prompt part {hold.trait}",
             hold.retry_after_s,
         )
 
@@ -250,8 +250,8 @@
         trace: RequestTrace,
     ) -> _AttemptResult:
         """Make one attempt and record its result."""
-        if not progress.is_prompt_trial:
-            progress.is_prompt_trial = self._prompt_quarantine.begin_trial(
+        if not progress.is_quarantine_trial:
+            progress.is_quarantine_trial = self._crash_quarantine.begin_trial(
                 context.shared_prompt_parts
             )
         started_at = self._clock.monotonic()
@@ -281,8 +281,8 @@
             return ErrorResponse(
                 ErrorReason.TIMEOUT_NOT_RUN, "no time left for an attempt"
             )
-        if not progress.is_prompt_trial or progress.may_have_run:
-            error = self.check_prompt(context)
+        if not progress.is_quarantine_trial or progress.may_have_run:
+            error = self.check_quarantine(context)
             if error is not None:
                 return error
         if progress.send_count >= max(1, context.route.max_attempts):
@@ -535,7 +535,7 @@
                 break
             if relay.forward(head, chunk):
                 if last_event_at is None:
-                    self._prompt_quarantine.record_start(context.shared_prompt_parts)
+                    self._crash_quarantine.record_start(context.shared_prompt_parts)
                 last_event_at = self._clock.monotonic()
                 self._end_prefill(record.name, progress)
                 trace.event_count = relay.event_count
@@ -611,7 +611,7 @@
     ) -> None:
         """Update the metrics and the health of the endpoint after an attempt."""
         if result.outcome is AttemptOutcome.LOST:
-            self._prompt_quarantine.record_lost(record, context.shared_prompt_parts)
+            self._crash_quarantine.record_lost(record, context.shared_prompt_parts)
         loads = self._endpoints.loads
         self._metrics.count(
             "attempts_total", service=context.service.name, end=result.outcome.value
@@ -630,7 +630,7 @@
             result.outcome is AttemptOutcome.ANSWERED
             and context.route.kind is not RequestKind.STREAMING
         ):
-            self._prompt_quarantine.record_start(context.shared_prompt_parts)
+            self._crash_quarantine.record_start(context.shared_prompt_parts)
             had_capacity = candidate.load + 1 <= candidate.slots
             loads.record_success(record.name, duration_s, 1.0, had_capacity)
             loads.eject_if_slow(
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -311,7 +311,7 @@
 
         A request that is forecast to meet its latency target is always accepted.
         """
-        error = self._dispatcher.check_prompt(context)
+        error = self._dispatcher.check_quarantine(context)
         if error is not None:
             return error
         forecast = stage_runner.forecast()
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -11,13 +11,13 @@
 
 from sapphirehoist.clock import Clock, HybridClock
 from sapphirehoist.decisions import (
+    CrashQuarantine,
     EarliestStartPolicy,
     EndpointBackoff,
     EndpointLimits,
     EndpointLoads,
     GenerationPlacement,
     PredictedPlacement,
-    PromptQuarantine,
     SharedRetryBudget,
     UrgentFirstBatching,
 )
@@ -32,6 +32,7 @@
 from sapphirehoist.gateway.addresses import NodeAddresses
 from sapphirehoist.gateway.candidates import EndpointCandidates
 from sapphirehoist.gateway.codec import CallCodec
+from sapphirehoist.gateway.crash_quarantine_sync import CrashQuarantineSync
 from sapphirehoist.gateway.dispatch import Dispatcher
 from sapphirehoist.gateway.endpoint_limit_sync import EndpointLimitSync
 from sapphirehoist.gateway.endpoint_queue import QueueDependencies
@@ -40,7 +41,6 @@
 from sapphirehoist.gateway.peer_discovery import PeerDiscovery
 from sapphirehoist.gateway.peer_state_sync import PeerStateSync
 from sapphirehoist.gateway.prompt_broadcast import PromptBroadcaster
-from sapphirehoist.gateway.prompt_quarantine_sync import PromptQuarantineSync
 from sapphirehoist.gateway.region_read_sharing import RegionReaders
 from sapphirehoist.gateway.stage_scheduler import StageScheduler
 from sapphirehoist.http1 import CallerServer, EndpointConnectionPool
@@ -217,7 +217,7 @@
         Selects the node addresses for callers.
     handler : RequestHandler
         Processes callers' requests.
-    prompt_quarantine : PromptQuarantineSync
+    crash_quarantine : CrashQuarantineSync
         Prompt parts under which engines crash.
     """
 
@@ -492,8 +492,8 @@
         self._prompt_broadcaster = PromptBroadcaster(
             self.fleet, self._peer_bus, placement, clock
         )
-        self.prompt_quarantine = PromptQuarantineSync(
-            PromptQuarantine(clock, self._dependencies.random),
+        self.crash_quarantine = CrashQuarantineSync(
+            CrashQuarantine(clock, self._dependencies.random),
             self.fleet,
             self._peer_bus,
             self._endpoint_connections.can_connect,
@@ -507,7 +507,7 @@
             PredictedPlacement(),
             placement,
             self._prompt_broadcaster.schedule_broadcast,
-            self.prompt_quarantine,
+            self.crash_quarantine,
             clock,
             self.metrics,
         )
@@ -545,4 +545,4 @@
             self._dependencies.clock.sleep(_MAINTENANCE_INTERVAL_S)
             self.endpoint_directory.remove_expired()
             self._endpoint_connections.close_stale()
-            self.prompt_quarantine.remove_expired()
+            self.crash_quarantine.remove_expired()
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -140,7 +140,7 @@
         Whether an attempt is in progress.
     attempt_started_at : float
         Monotonic time at which the last attempt started.
-    is_prompt_trial : bool
+    is_quarantine_trial : bool
         Whether the request is sent to test a quarantined part of its prompt.
     streamed_head : ResponseHead or None
         Head of the stream of which the caller has received a part.
@@ -151,7 +151,7 @@
     __slots__ = (
         "attempt_started_at",
         "is_attempt_in_flight",
-        "is_prompt_trial",
+        "is_quarantine_trial",
         "may_have_run",
         "pending_prefill_tokens",
         "relay",
@@ -167,6 +167,6 @@
         self.may_have_run = False
         self.is_attempt_in_flight = False
         self.attempt_started_at = 0.0
-        self.is_prompt_trial = False
+        self.is_quarantine_trial = False
         self.streamed_head: ResponseHead | None = None
         self.pending_prefill_tokens = 0
