Hold back a request under which three endpoints have crashed

Cause: a request that crashes its endpoint was taken for a fault of the endpoint. Crashes were related by shared prompt parts only, so that copies of a request without a prompt, and of one whose parts sound requests share, went on to the next endpoint, and the next copy again. Change: CrashQuarantine also tracks the request trait, a hash of method, host, path with query, team and body. Crashes on it count one by one; a complete answer clears it; after two failed trials it is held for 15 min. Lost and broken attempts at all services report it. Why this works: copies at any node carry the same trait, crash reports and states are flooded as before, so that all nodes refuse the copies within one flood after the third crash.

--- a/libs/ctl/sapphirehoist/ctl/explain.py
+++ b/libs/ctl/sapphirehoist/ctl/explain.py
@@ -26,6 +26,7 @@
     "stopping": "The node was shutting down; nothing ran.",
     "no_endpoint": "No endpoint of the service was available; nothing ran.",
     "endpoints_full": "Endpoints refused every allowed attempt; nothing ran.",
+    "request_quarantined": "Endpoints crashed on copies of it; nothing ran this time.",
     "prompt_quarantined": "Engines crashed on a part of its prompt; nothing ran.",
     "overloaded": "The stages could not have completed in time; refused on arrival.",
     "stage_failed": "The stages could not be computed; the request itself did not run.",
--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -34,6 +34,8 @@
     EngineCrash,
     QuarantineHold,
     QuarantineState,
+    is_request_trait,
+    request_trait,
 )
 from sapphirehoist.decisions.endpoint_backoff import MAX_BACKOFF_S, EndpointBackoff
 from sapphirehoist.decisions.endpoint_limits import (
@@ -127,9 +129,11 @@
     "UnlimitedRetry",
     "UrgentFirstBatching",
     "endpoint_subset",
+    "is_request_trait",
     "limit_share",
     "most_capable",
     "rendezvous_score",
+    "request_trait",
     "stall_timeout_s",
     "urgency_level",
 ]
--- a/libs/decisions/sapphirehoist/decisions/crash_quarantine.py
+++ b/libs/decisions/sapphirehoist/decisions/crash_quarantine.py
@@ -4,11 +4,14 @@
 them. Limits per request do not contain them: every such request, and every retry, takes
 down another endpoint with all of its other work.
 
-Requests are told apart by traits, such as the parts of their prompts. A crash makes the
-traits of all requests suspect whose output had not started there. The first output of a
-request clears its traits. A trait that is suspect in several crashes without being
-cleared in between is quarantined: its requests are refused, but for single trials at
-growing intervals, of which a successful one releases the trait.
+Requests are told apart by traits: the parts of their prompts, which many requests
+share, and the request trait, which only copies of one request have. A crash makes
+suspect the prompt parts of all requests whose output had not started there, and the
+request traits of all that had not ended. The first output of a request clears its
+prompt parts, and its complete answer clears its request trait. A trait that is suspect
+in several crashes without being cleared in between is quarantined: its requests are
+refused, but for single trials at growing intervals, of which a successful one releases
+the trait.
 """
 
 from __future__ import annotations
@@ -32,6 +35,8 @@
 _FIRST_HOLD_S = 1.0
 _HOLD_GROWTH = 6.0
 _MAX_HOLD_S = 600.0
+# Only copies of one request depend on further trials of its request trait.
+_MAX_REQUEST_TRIALS = 2
 # The hold ends later at some nodes, so that few of them begin a trial at the same time.
 _MAX_HOLD_STRETCH = 0.25
 # A request with several quarantined traits does not tell which of them is sound, so a
@@ -41,6 +46,18 @@
 _STATE_RETENTION_S = 900.0
 _MAX_TRACKED_TRAITS = 4_096
 _MAX_TRACKED_CRASHES = 1_024
+# Names of prompt parts contain no colon.
+_REQUEST_TRAIT_PREFIX = "request:"
+
+
+def request_trait(fingerprint: str) -> str:
+    """Return the trait that only requests with `fingerprint` have."""
+    return _REQUEST_TRAIT_PREFIX + fingerprint
+
+
+def is_request_trait(trait: str) -> bool:
+    """Return whether `trait` is that of the copies of one request."""
+    return trait.startswith(_REQUEST_TRAIT_PREFIX)
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +98,8 @@
     @property
     def hold_s(self) -> float:
         """Return the time between two trials in seconds, before nodes stretch it."""
+        if is_request_trait(self.trait) and self.failed_trials >= _MAX_REQUEST_TRIALS:
+            return _STATE_RETENTION_S
         return min(_FIRST_HOLD_S * _HOLD_GROWTH**self.failed_trials, _MAX_HOLD_S)
 
     def precedence(self) -> tuple[int, int, int]:
@@ -158,6 +177,11 @@
         self._suspicions: OrderedDict[str, list[float]] = OrderedDict()
         self._started_at: OrderedDict[str, float] = OrderedDict()
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no trait is suspect or quarantined, or was lately."""
+        return not self._suspicions and not self._states
+
     def check(self, traits: Sequence[str]) -> QuarantineHold | None:
         """Return why a request with `traits` may not be sent now, or None if it may.
 
@@ -189,7 +213,7 @@
     def record_crash(
         self, crash: EngineCrash, traits: Iterable[str]
     ) -> list[QuarantineState]:
-        """Record that an engine crashed before generations with `traits` started.
+        """Record that an engine crashed on requests with `traits`.
 
         Reports of one crash may come from several nodes, each with its own traits.
         """
@@ -203,17 +227,22 @@
         return [state for state in changed if state is not None]
 
     def is_suspect(self, trait: str) -> bool:
-        """Return whether an engine crashed on `trait` since a generation with it."""
+        """Return whether an engine crashed on `trait` since it was cleared."""
         state = self._states.get(trait)
         return trait in self._suspicions or (state is not None and state.is_quarantined)
 
     def record_start(self, traits: Iterable[str]) -> list[QuarantineState]:
-        """Record that a generation with `traits` has started, which clears them."""
+        """Record that requests with `traits` do not crash engines, which clears them.
+
+        A request with prompt parts has started its output; one with a request trait has
+        been answered completely.
+        """
         now = self._clock.monotonic()
         changed = []
         for trait in traits:
-            self._started_at[trait] = now
-            self._started_at.move_to_end(trait)
+            if not is_request_trait(trait):
+                self._started_at[trait] = now
+                self._started_at.move_to_end(trait)
             self._suspicions.pop(trait, None)
             state = self._states.get(trait)
             if state is not None and state.is_quarantined:
@@ -269,10 +298,17 @@
 
     def _is_convicted(self, trait: str, now: float) -> bool:
         """Return whether `trait` was suspect in enough crashes that were not one."""
+        crash_times = [
+            crashed_at
+            for crashed_at in self._suspicions[trait]
+            if now - crashed_at <= _SUSPICION_RETENTION_S
+        ]
+        if is_request_trait(trait):
+            # A retry follows the loss of the attempt before it, so that the crashes of
+            # both have no cause in common but the request.
+            return len(crash_times) >= _MIN_CRASHES
         count, counted_at = 0, float("-inf")
-        for crashed_at in self._suspicions[trait]:
-            if now - crashed_at > _SUSPICION_RETENTION_S:
-                continue
+        for crashed_at in crash_times:
             if crashed_at - counted_at >= _SIMULTANEOUS_CRASHES_S:
                 count, counted_at = count + 1, crashed_at
         known_since = max(
--- a/libs/decisions/sapphirehoist/decisions/tests/test_crash_quarantine.py
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_crash_quarantine.py
@@ -8,10 +8,16 @@
 import pytest
 
 from sapphirehoist.clock import ManualClock
-from sapphirehoist.decisions import CrashQuarantine, EngineCrash, QuarantineState
+from sapphirehoist.decisions import (
+    CrashQuarantine,
+    EngineCrash,
+    QuarantineState,
+    request_trait,
+)
 
 HISTORY_S = 60.0
 SPACING_S = 0.5
+REQUEST = request_trait("5c1e")
 
 
 def crash(number: int) -> EngineCrash:
@@ -111,6 +117,27 @@
             quarantine.remove_expired()
         assert quarantine.check(["a"]) is None
 
+    def test_three_crashes_under_copies_of_a_request_count_though_close_together(
+        self, clock: ManualClock
+    ) -> None:
+        quarantine = CrashQuarantine(clock, Random(1))
+        for number in range(3):
+            assert quarantine.check(["a", REQUEST]) is None
+            quarantine.record_crash(crash(number), ["a", REQUEST])
+            clock.advance(0.1)
+        hold = quarantine.check(["a", REQUEST])
+        assert hold is not None and hold.trait == REQUEST
+        assert quarantine.check(["a", request_trait("other")]) is None
+
+    def test_request_that_was_answered_in_between_is_not_quarantined(
+        self, quarantine: CrashQuarantine, clock: ManualClock
+    ) -> None:
+        for number in range(10):
+            crash_under(quarantine, clock, [REQUEST], 1, first=number)
+            quarantine.record_start([REQUEST])
+        assert quarantine.check([REQUEST]) is None
+        assert quarantine.states() == []
+
 
 class TestTrials:
     def test_single_trial_at_growing_intervals_while_trials_fail(
@@ -165,6 +192,20 @@
         clock.advance(30.0)
         assert quarantine.check(["a", "b"]) is None
 
+    def test_request_has_two_trials(
+        self, quarantine: CrashQuarantine, clock: ManualClock
+    ) -> None:
+        crash_under(quarantine, clock, [REQUEST])
+        trials = 0
+        for _ in range(8_000):
+            if quarantine.check([REQUEST]) is None:
+                quarantine.begin_trial([REQUEST])
+                trials += 1
+                quarantine.record_crash(crash(100 + trials), [REQUEST])
+            clock.advance(0.1)
+            quarantine.remove_expired()
+        assert trials == 2
+
     def test_untested_quarantine_ends(
         self, quarantine: CrashQuarantine, clock: ManualClock
     ) -> None:
@@ -283,3 +324,55 @@
         # Five crashes until the part has to be known, and three after that.
         assert crashes <= 8 < crashes_before
         assert served > max(served_before, 0.95)
+
+
+def play_copies(seed: int, is_quarantine_used: bool) -> tuple[float, int]:
+    """Return the fraction of sound requests that are served, and the crashes.
+
+    At three endpoints arrive 9 sound requests a second, and three copies of a request
+    under which they crash after 0.1 s. A lost request is sent to one more endpoint. A
+    crash also loses the sound requests of the last 0.02 s.
+    """
+    random, clock = Random(seed), ManualClock()
+    quarantine, engines = CrashQuarantine(clock, Random(1)), _Engines(clock, 3, 4.0)
+    end_at = clock.monotonic() + 40.0
+    served = lost = copies = 0
+
+    def is_allowed(trait: str) -> bool:
+        return not is_quarantine_used or quarantine.check([trait]) is None
+
+    while clock.monotonic() < end_at:
+        clock.advance(random.expovariate(12.0))
+        running = engines.running()
+        if random.random() < 0.75:
+            trait = request_trait(f"sound {random.random()}")
+            if running and is_allowed(trait):
+                quarantine.record_start([trait])
+                served += 1
+            else:
+                lost += 1
+            continue
+        copies += 1
+        tried: set[int] = set()
+        while len(tried) < 2 and set(running) - tried and is_allowed(REQUEST):
+            quarantine.begin_trial([REQUEST])
+            index = random.choice(sorted(set(running) - tried))
+            tried.add(index)
+            clock.advance(0.1)
+            bystanders = [request_trait(f"lost {random.random()}")] * (
+                random.random() < 0.18
+            )
+            lost += len(bystanders)
+            quarantine.record_crash(engines.crash(index), [REQUEST, *bystanders])
+    assert copies > 50
+    return served / (served + lost), engines.crash_count
+
+
+class TestLoadWithARepeatedRequest:
+    @pytest.mark.parametrize("seed", range(10))
+    def test_few_endpoints_crash_and_sound_requests_are_served(self, seed: int) -> None:
+        served_before, crashes_before = play_copies(seed, is_quarantine_used=False)
+        served, crashes = play_copies(seed, is_quarantine_used=True)
+        # Three crashes until the request has to be known, and three after that.
+        assert crashes <= 6 < crashes_before
+        assert served > served_before
--- a/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
@@ -17,6 +17,7 @@
     EngineCrash,
     QuarantineHold,
     QuarantineState,
+    is_request_trait,
 )
 from sapphirehoist.discovery import EndpointRecord
 from sapphirehoist.membership import Digest, Fleet, Member
@@ -30,7 +31,7 @@
 
 
 class EngineCrashReport(PeerMessage, frozen=True, array_like=True):
-    """Reports that an engine crashed before generations of the sender had started.
+    """Reports that an engine crashed on requests of the sender.
 
     Attributes
     ----------
@@ -39,7 +40,7 @@
     born_ms : int
         Start time in milliseconds, which identifies the engine's incarnation.
     traits : list of str
-        Traits of the generations that had not started.
+        Suspect traits of these requests.
     """
 
     KIND: ClassVar[str] = "gateway.engine_crash"
@@ -50,7 +51,7 @@
 
 
 class StartedPartsUpdate(PeerMessage, frozen=True, array_like=True):
-    """Reports that a generation has started with traits that were suspect."""
+    """Reports that traits which were suspect are cleared."""
 
     KIND: ClassVar[str] = "gateway.started_parts"
 
@@ -96,8 +97,9 @@
     can_connect : callable
         Returns whether an endpoint address accepts a connection.
     metrics : Metrics
-        Receives ``engine_crashes_total``, ``prompt_quarantines_total`` and
-        ``prompt_trials_total``.
+        Receives ``engine_crashes_total``, ``prompt_quarantines_total``,
+        ``prompt_trials_total``, ``request_quarantines_total`` and
+        ``request_trials_total``.
     """
 
     __slots__ = (
@@ -122,8 +124,8 @@
         self._bus = bus
         self._can_connect = can_connect
         self._metrics = metrics
-        # Parts of generations that were lost at an engine, until it is known whether
-        # the engine crashed.
+        # Traits of requests that were lost at an engine, until it is known whether the
+        # engine crashed.
         self._unverified_traits: dict[EngineCrash, list[str]] = {}
         fleet.add_digest(Digest("quarantine", self._read_digest, self._reconcile))
         fleet.subscribe_updates(EngineCrashReport, self._handle_crash)
@@ -131,6 +133,11 @@
         fleet.subscribe_updates(QuarantineUpdate, self._handle_state)
         bus.subscribe(QuarantineRequest, self._handle_request)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no trait is suspect or quarantined, or was lately."""
+        return self._quarantine.is_idle
+
     def check(self, traits: Sequence[str]) -> QuarantineHold | None:
         """Return why a request with `traits` may not be sent now, or None if it may."""
         return self._quarantine.check(traits)
@@ -139,21 +146,22 @@
         """Announce that a request is sent; return whether it is a trial of a trait."""
         states = self._quarantine.begin_trial(traits)
         self._publish(states)
-        if states:
-            self._metrics.count("prompt_trials_total")
+        for state in states:
+            kind = "request" if is_request_trait(state.trait) else "prompt"
+            self._metrics.count(f"{kind}_trials_total")
         return bool(states)
 
     def record_start(self, traits: Sequence[str]) -> None:
-        """Record the first output of a generation with `traits`."""
+        """Record that requests with `traits` do not crash engines."""
         suspect = [trait for trait in traits if self._quarantine.is_suspect(trait)]
         self._publish(self._quarantine.record_start(traits))
         if suspect:
             self._fleet.broadcast(StartedPartsUpdate(suspect))
 
     def record_lost(self, engine: EndpointRecord, traits: Sequence[str]) -> None:
-        """Record a generation that was lost before its first output.
+        """Record that a request was lost at an engine, which makes `traits` suspect.
 
-        Its engine has crashed if it accepts no connection.
+        The engine has crashed if it accepts no connection.
         """
         if not traits:
             return
@@ -166,7 +174,7 @@
         gevent.spawn(self._report_if_crashed, crash, engine.address)
 
     def report_crash(self, crash: EngineCrash, traits: Sequence[str]) -> None:
-        """Report to all nodes that an engine crashed before generations started."""
+        """Report to all nodes that an engine crashed on requests with `traits`."""
         report = EngineCrashReport(
             crash.engine, crash.incarnation, list(dict.fromkeys(traits))
         )
@@ -197,7 +205,8 @@
             extra={
                 "endpoint": report.engine,
                 "born_ms": report.born_ms,
-                "prompt_parts": new_traits,
+                "prompt_parts": [t for t in new_traits if not is_request_trait(t)],
+                "request_traits": [t for t in new_traits if is_request_trait(t)],
             },
         )
         self._publish(self._quarantine.record_crash(crash, new_traits))
@@ -224,14 +233,15 @@
             self._fleet.broadcast(_to_update(state))
 
     def _log_state(self, state: QuarantineState) -> None:
+        is_request = is_request_trait(state.trait)
         if state.is_quarantined and not state.started_trials:
-            self._metrics.count("prompt_quarantines_total")
+            kind = "request" if is_request else "prompt"
+            self._metrics.count(f"{kind}_quarantines_total")
+        subject = "request" if is_request else "prompt part"
         _logger.info(
-            "prompt part quarantined"
-            if state.is_quarantined
-            else "prompt part released",
+            f"{subject} quarantined" if state.is_quarantined else f"{subject} released",
             extra={
-                "prompt_part": state.trait,
+                "request_trait" if is_request else "prompt_part": state.trait,
                 "revision": state.revision,
                 "trials": state.started_trials,
                 "failed_trials": state.failed_trials,
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -14,6 +14,8 @@
     PlacementPolicy,
     PlacementRequest,
     SharedRetryBudget,
+    is_request_trait,
+    request_trait,
     stall_timeout_s,
 )
 from sapphirehoist.discovery import EndpointRecord
@@ -105,7 +107,7 @@
         Schedules a broadcast to other nodes of the prompt parts that were sent to an
         engine.
     crash_quarantine : CrashQuarantineSync
-        Learns which prompt parts crash engines, and holds back requests with them.
+        Learns which requests crash engines, and holds them back.
     clock : Clock
         Monotonic time.
     metrics : Metrics
@@ -222,10 +224,18 @@
         )
 
     def check_quarantine(self, context: RequestContext) -> ErrorResponse | None:
-        """Return an error response if a part of the prompt is quarantined."""
-        hold = self._crash_quarantine.check(context.shared_prompt_parts)
+        """Return an error response if the request may crash its engine."""
+        if self._crash_quarantine.is_idle:
+            return None
+        hold = self._crash_quarantine.check(_traits(context))
         if hold is None:
             return None
+        if is_request_trait(hold.trait):
+            return ErrorResponse(
+                ErrorReason.REQUEST_QUARANTINED,
+                "endpoints crashed on copies of this request",
+                hold.retry_after_s,
+            )
         return ErrorResponse(
             ErrorReason.PROMPT_QUARANTINED,
             f"engines crashed on requests with the prompt part {hold.trait}",
@@ -250,9 +260,9 @@
         trace: RequestTrace,
     ) -> _AttemptResult:
         """Make one attempt and record its result."""
-        if not progress.is_quarantine_trial:
+        if not progress.is_quarantine_trial and not self._crash_quarantine.is_idle:
             progress.is_quarantine_trial = self._crash_quarantine.begin_trial(
-                context.shared_prompt_parts
+                _traits(context)
             )
         started_at = self._clock.monotonic()
         progress.is_attempt_in_flight = True
@@ -610,8 +620,7 @@
         candidate: PlacementCandidate,
     ) -> None:
         """Update the metrics and the health of the endpoint after an attempt."""
-        if result.outcome is AttemptOutcome.LOST:
-            self._crash_quarantine.record_lost(record, context.shared_prompt_parts)
+        self._update_quarantine(context, record, result.outcome)
         loads = self._endpoints.loads
         self._metrics.count(
             "attempts_total", service=context.service.name, end=result.outcome.value
@@ -630,7 +639,6 @@
             result.outcome is AttemptOutcome.ANSWERED
             and context.route.kind is not RequestKind.STREAMING
         ):
-            self._crash_quarantine.record_start(context.shared_prompt_parts)
             had_capacity = candidate.load + 1 <= candidate.slots
             loads.record_success(record.name, duration_s, 1.0, had_capacity)
             loads.eject_if_slow(
@@ -639,6 +647,20 @@
         elif result.outcome is AttemptOutcome.ANSWERED:
             loads.get(record.name).consecutive_failures = 0
 
+    def _update_quarantine(
+        self, context: RequestContext, record: EndpointRecord, outcome: AttemptOutcome
+    ) -> None:
+        """Record whether an attempt may have crashed its engine, or did not."""
+        if outcome is AttemptOutcome.LOST:
+            self._crash_quarantine.record_lost(record, _traits(context))
+        elif outcome is AttemptOutcome.BROKEN:
+            self._crash_quarantine.record_lost(record, [_own_trait(context)])
+        elif outcome is AttemptOutcome.ANSWERED:
+            if context.route.kind is not RequestKind.STREAMING:
+                self._crash_quarantine.record_start(context.shared_prompt_parts)
+            if not self._crash_quarantine.is_idle:
+                self._crash_quarantine.record_start([_own_trait(context)])
+
     def _deliver(
         self, result: _AttemptResult, relay: EventRelay, exchange: Exchange
     ) -> DispatchOutcome:
@@ -685,6 +707,16 @@
         return ErrorResponse(error.reason, error.detail, retry_after_s)
 
 
+def _own_trait(context: RequestContext) -> str:
+    """Return the trait that the request shares with its copies only."""
+    return request_trait(context.fingerprint())
+
+
+def _traits(context: RequestContext) -> list[str]:
+    """Return what the request has in common with others that may crash engines."""
+    return [*context.shared_prompt_parts, _own_trait(context)]
+
+
 def _engine_priority(context: RequestContext) -> int | None:
     """Return the priority at a model engine; None for other services.
 
--- a/libs/gateway/sapphirehoist/gateway/error_response.py
+++ b/libs/gateway/sapphirehoist/gateway/error_response.py
@@ -20,6 +20,7 @@
     OVERLOADED = "overloaded"
     ENDPOINTS_FULL = "endpoints_full"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     STAGE_FAILED = "stage_failed"
     TIMEOUT_NOT_RUN = "timeout_not_run"
     TIMEOUT = "timeout"
@@ -37,6 +38,7 @@
     ErrorReason.OVERLOADED: 503,
     ErrorReason.ENDPOINTS_FULL: 503,
     ErrorReason.PROMPT_QUARANTINED: 503,
+    ErrorReason.REQUEST_QUARANTINED: 503,
     ErrorReason.STAGE_FAILED: 503,
     ErrorReason.TIMEOUT_NOT_RUN: 503,
     ErrorReason.TIMEOUT: 504,
