Decode and log the software versions of endpoints and taken-up streams

Cause: no log line names the version of an endpoint or the request whose stream a client takes up, so that the hypotheses of mixed-versions cannot be told apart. Change: EndpointRecord.software_version, RequestMetadata.resumed_request_id; the request line of a stream names the version at each attempt, lines of failed attempts and of changed endpoints their version.

--- a/libs/discovery/sapphirehoist/discovery/directory.py
+++ b/libs/discovery/sapphirehoist/discovery/directory.py
@@ -305,6 +305,7 @@
                 "zone": record.zone,
                 "sequence": record.sequence,
                 "born_ms": record.born_ms,
+                "software_version": record.software_version,
                 "source": source,
             },
         )
--- a/libs/discovery/sapphirehoist/discovery/records.py
+++ b/libs/discovery/sapphirehoist/discovery/records.py
@@ -41,6 +41,8 @@
     born_ms : int
         Wall time of the endpoint's start, in milliseconds since the Unix epoch; 0 where
         unknown.
+    software_version : str
+        Version of the endpoint's software; empty where unknown. Versions have no order.
     """
 
     name: str
@@ -52,3 +54,4 @@
     cold_s: float = 0.0
     sequence: int = 0
     born_ms: int = 0
+    software_version: str = ""
--- a/libs/gateway/sapphirehoist/gateway/codec.py
+++ b/libs/gateway/sapphirehoist/gateway/codec.py
@@ -57,6 +57,8 @@
         Size of the prompt and the output; None if the caller sent no token counts.
     last_event_id : str
         Id of the last event that the caller has received; empty for a new stream.
+    resumed_request_id : str
+        Id of the caller's request that began the stream; empty if not stated.
     """
 
     request_id: str
@@ -67,6 +69,7 @@
     piece_key: str = ""
     generation: GenerationRequest | None = None
     last_event_id: str = ""
+    resumed_request_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -273,7 +273,12 @@
         if result.outcome is not AttemptOutcome.ANSWERED:
             trace.fingerprint = context.fingerprint()
         trace.record_attempt(
-            record.name, result.outcome, duration_s, candidate.load, result.detail
+            record.name,
+            record.software_version,
+            result.outcome,
+            duration_s,
+            candidate.load,
+            result.detail,
         )
         self._record_result(context, record, result, duration_s, candidate)
         if result.outcome is not AttemptOutcome.NOT_SENT:
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -220,6 +220,7 @@
         if isinstance(metadata, DecodeFailure):
             return ErrorResponse(ErrorReason.BAD_REQUEST, metadata.detail)
         trace.request_id = metadata.request_id
+        trace.resumed_request_id = metadata.resumed_request_id
         if metadata.generation is not None:
             trace.prompt_parts = tuple(
                 part.name for part in metadata.generation.prompt_parts
--- a/libs/gateway/sapphirehoist/gateway/trace.py
+++ b/libs/gateway/sapphirehoist/gateway/trace.py
@@ -32,6 +32,8 @@
         Names of the parts of the prompt; empty for a request without a prompt.
     fingerprint : str
         What copies of the request have in common; empty until an attempt has failed.
+    resumed_request_id : str
+        Id of the caller's request whose stream it takes up; empty for none.
     config_version : int
         Version of the configuration that was used.
     piece_count : int
@@ -53,6 +55,7 @@
         "_arrived_at",
         "_attempts",
         "_clock",
+        "_software_versions",
         "attempt_count",
         "config_version",
         "event_count",
@@ -62,6 +65,7 @@
         "piece_count",
         "prompt_parts",
         "request_id",
+        "resumed_request_id",
         "route",
         "service",
         "stage_end_times_s",
@@ -73,8 +77,10 @@
         self._clock = clock
         self._arrived_at = arrived_at
         self._attempts: list[str] = []
+        self._software_versions: list[str] = []
         self.attempt_count = 0
         self.request_id = ""
+        self.resumed_request_id = ""
         self.route = ""
         self.service = ""
         self.team = ""
@@ -95,6 +101,7 @@
     def record_attempt(
         self,
         endpoint: str,
+        software_version: str,
         outcome: AttemptOutcome,
         duration_s: float,
         load: float,
@@ -103,12 +110,14 @@
         """Record the outcome of an attempt and log it immediately if it failed."""
         self.attempt_count += 1
         self._attempts.append(f"{endpoint} {outcome.value} {duration_s * 1000:.0f} ms")
+        self._software_versions.append(software_version)
         if outcome is AttemptOutcome.ANSWERED:
             return
         extra = {
             "request_id": self.request_id,
             "service": self.service,
             "endpoint": endpoint,
+            "software_version": software_version,
             "end": outcome.value,
             "detail": detail,
             "attempt": self.attempt_count,
@@ -146,6 +155,10 @@
         }
         if detail:
             extra["detail"] = detail
+        if self.resumed_request_id:
+            extra["resumed_request_id"] = self.resumed_request_id
+        if self.event_count:
+            extra["software_versions"] = self._software_versions
         if self.forecast_s is not None:
             extra["forecast_ms"] = round(self.forecast_s * 1000, 1)
         if self.stages_duration_s is not None:
