Let a stream go on only at the software version that began it

Cause: an engine to go on with a stream was chosen by load and cached prompt parts among all engines of the service; the software version was not even decoded. The node that a caller comes back to knew nothing of the stream. Class of fault: a session that is resumed at an incompatible replica. Change: the first event binds a request to its engine's version. Nodes keep the origins of streams (StreamOrigins) and, while a service has several versions, send them to three holders by rendezvous hash; a node that a stream is taken up at asks them, and refuses in doubt. Why this works: no candidate of another version is left after the first event, and a stream of unknown origin goes on only where one version has served.

--- a/libs/ctl/sapphirehoist/ctl/explain.py
+++ b/libs/ctl/sapphirehoist/ctl/explain.py
@@ -28,6 +28,7 @@
     "endpoints_full": "Endpoints refused every allowed attempt; nothing ran.",
     "request_quarantined": "Endpoints crashed on copies of it; nothing ran this time.",
     "prompt_quarantined": "Engines crashed on a part of its prompt; nothing ran.",
+    "stream_not_resumable": "No engine that may continue the stream; nothing ran.",
     "overloaded": "The stages could not have completed in time; refused on arrival.",
     "stage_failed": "The stages could not be computed; the request itself did not run.",
     "timeout_not_run": "Timed out before it was sent to an endpoint; nothing ran.",
--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -73,6 +73,13 @@
     RoutingPolicy,
 )
 from sapphirehoist.decisions.stalled_streams import stall_timeout_s
+from sapphirehoist.decisions.stream_origins import (
+    StreamOrigin,
+    StreamOrigins,
+    TrackedStream,
+    infer_origin,
+    stream_holders,
+)
 from sapphirehoist.decisions.subset import endpoint_subset, rendezvous_score
 from sapphirehoist.decisions.team_shares import TeamShares
 
@@ -125,15 +132,20 @@
     "SinglePieceBatching",
     "StageEndpointCandidate",
     "StageEndpointPolicy",
+    "StreamOrigin",
+    "StreamOrigins",
     "TeamShares",
+    "TrackedStream",
     "UnlimitedRetry",
     "UrgentFirstBatching",
     "endpoint_subset",
+    "infer_origin",
     "is_request_trait",
     "limit_share",
     "most_capable",
     "rendezvous_score",
     "request_trait",
     "stall_timeout_s",
+    "stream_holders",
     "urgency_level",
 ]
--- a/libs/discovery/sapphirehoist/discovery/directory.py
+++ b/libs/discovery/sapphirehoist/discovery/directory.py
@@ -11,7 +11,7 @@
 
 import logging
 import sys
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, replace
 
 from sapphirehoist.clock import Clock
@@ -26,6 +26,8 @@
 # Departures are kept far longer than the 2 s after which an address may be reassigned
 # to another service.
 _DEPARTURE_RETENTION_S = 600.0
+# Longer than any stream that began at an endpoint which has left since.
+_VERSION_RETENTION_S = 120.0
 
 _logger = logging.getLogger(__name__)
 
@@ -87,10 +89,12 @@
         "_gone",
         "_in_service_records",
         "_is_loaded",
+        "_left_versions",
         "_listeners",
         "_metrics",
         "_missing_since",
         "_records",
+        "_versions",
     )
 
     def __init__(self, clock: Clock, metrics: Metrics) -> None:
@@ -98,6 +102,10 @@
         self._metrics = metrics
         self._records: dict[str, EndpointRecord] = {}
         self._in_service_records: dict[str, list[EndpointRecord]] = {}
+        # Software versions of all known endpoints by service; by service and version,
+        # the monotonic time at which an endpoint was last removed.
+        self._versions: dict[str, set[str]] = {}
+        self._left_versions: dict[tuple[str, str], float] = {}
         # By name and start time of an incarnation: monotonic time since which it is
         # known to be draining, and the departure of one that is gone.
         self._draining_since: dict[tuple[str, int], float] = {}
@@ -125,6 +133,20 @@
         """Return the records of the endpoints of `service` that accept new requests."""
         return self._in_service_records.get(service, [])
 
+    def services(self) -> Collection[str]:
+        """Return the services of all known endpoints, including draining ones."""
+        return self._versions.keys()
+
+    def recent_versions(self, service: str) -> set[str]:
+        """Return the software versions that serve, or served until lately."""
+        oldest = self._clock.monotonic() - _VERSION_RETENTION_S
+        left_versions = {
+            version
+            for (left_service, version), left_at in self._left_versions.items()
+            if left_service == service and left_at > oldest
+        }
+        return self._versions.get(service, set()) | left_versions
+
     def list_all(self) -> list[EndpointRecord]:
         """Return the records of all known endpoints, including draining ones."""
         return list(self._records.values())
@@ -184,6 +206,8 @@
             del self._gone[key]
         if key in self._draining_since:
             record = replace(record, phase=EndpointPhase.DRAINING)
+        if known is not None:
+            self._record_left_version(known)
         self._records[record.name] = record
         self._rebuild_service_index()
         if known is None or known.born_ms != record.born_ms:
@@ -258,6 +282,12 @@
             key: gone for key, gone in self._gone.items() if gone.since > oldest
         }
         present = {(r.name, r.born_ms) for r in self._records.values()}
+        oldest_version = now - _VERSION_RETENTION_S
+        self._left_versions = {
+            key: left_at
+            for key, left_at in self._left_versions.items()
+            if left_at > oldest_version
+        }
         self._draining_since = {
             key: since
             for key, since in self._draining_since.items()
@@ -269,11 +299,16 @@
         record = self._records.pop(name, None)
         if record is None:
             return
+        self._record_left_version(record)
         self._record_gone(record.name, record.born_ms, _IGNORE_NONE)
         self._log_change(record, EndpointPhase.GONE.value, reason)
         self._rebuild_service_index()
         self._publish_departure(record, EndpointPhase.GONE)
 
+    def _record_left_version(self, record: EndpointRecord) -> None:
+        key = (record.service, record.software_version)
+        self._left_versions[key] = self._clock.monotonic()
+
     def _record_gone(self, name: str, born_ms: int, ignored_up_to: int) -> None:
         now = self._clock.monotonic()
         self._gone[(name, born_ms)] = _GoneIncarnation(ignored_up_to, now)
@@ -288,10 +323,13 @@
 
     def _rebuild_service_index(self) -> None:
         by_service: dict[str, list[EndpointRecord]] = {}
+        versions: dict[str, set[str]] = {}
         for record in self._records.values():
+            versions.setdefault(record.service, set()).add(record.software_version)
             if record.phase is EndpointPhase.IN_SERVICE:
                 by_service.setdefault(record.service, []).append(record)
         self._in_service_records = by_service
+        self._versions = versions
 
     def _log_change(self, record: EndpointRecord, change: str, source: str) -> None:
         self._metrics.count("endpoint_changes_total", change=change)
--- a/libs/discovery/sapphirehoist/discovery/tests/test_follower.py
+++ b/libs/discovery/sapphirehoist/discovery/tests/test_follower.py
@@ -438,6 +438,20 @@
         directory.apply_entry(RECORD)
         assert directory.get("e") is None
 
+    def test_versions_are_recent_for_two_minutes_after_they_left(self) -> None:
+        directory, clock = self.new_directory()
+        directory.apply_entry(replace(RECORD, software_version="v1"))
+        directory.apply_entry(replace(RECORD, software_version="v2", born_ms=20))
+        assert directory.recent_versions("s") == {"v1", "v2"}
+        directory.apply_deletion("e", False, "entry removed")
+        clock.advance(110.0)
+        directory.remove_expired()
+        assert directory.recent_versions("s") == {"v1", "v2"}
+        assert directory.recent_versions("other") == set()
+        clock.advance(20.0)
+        directory.remove_expired()
+        assert directory.recent_versions("s") == set()
+
     def test_a_missing_entry_is_kept_for_the_grace_period_only(self) -> None:
         directory, clock = self.new_directory()
         directory.apply_entry(RECORD)
--- a/libs/gateway/sapphirehoist/gateway/candidates.py
+++ b/libs/gateway/sapphirehoist/gateway/candidates.py
@@ -108,15 +108,19 @@
         return self._directory.get(name)
 
     def candidates(
-        self, service: Service, tried: Collection[str]
+        self,
+        service: Service,
+        tried: Collection[str],
+        software_version: str | None = None,
     ) -> list[PlacementCandidate]:
         """Return candidates not in `tried`; ejected ones only if no other is left.
 
-        Endpoints that want no request from this node now are never candidates.
+        Endpoints that want no request from this node now are never candidates, nor are
+        those of another software version than `software_version`, unless it is None.
         """
         records = [
             record
-            for record in self._directory.list_in_service(service.name)
+            for record in self._in_service_records(service.name, software_version)
             if record.name not in tried and not self.backoff_s(record)
         ]
         available = [
@@ -148,12 +152,28 @@
         share = self._get_limit_share(record, limit_per_s)
         return self._limits.wait_s(record.name, record.born_ms, share)
 
-    def service_backoff_s(self, service: str) -> float:
+    def is_version_in_service(self, service: str, software_version: str) -> bool:
+        """Return whether an endpoint of `service` has this software version."""
+        return bool(self._in_service_records(service, software_version))
+
+    def _in_service_records(
+        self, service: str, software_version: str | None
+    ) -> list[EndpointRecord]:
+        """Return the endpoints of a version; those of all versions for None."""
+        records = self._directory.list_in_service(service)
+        if software_version is None:
+            return records
+        return [r for r in records if r.software_version == software_version]
+
+    def service_backoff_s(
+        self, service: str, software_version: str | None = None
+    ) -> float:
         """Return the time until an endpoint of `service` accepts requests again.
 
-        It is 0 unless no endpoint in service wants a request from this node now.
+        It is 0 unless no endpoint in service wants a request from this node now. Only
+        endpoints of `software_version` are considered, unless it is None.
         """
-        records = self._directory.list_in_service(service)
+        records = self._in_service_records(service, software_version)
         return min(map(self.backoff_s, records), default=0.0)
 
     def discard(self, endpoint: str) -> None:
--- a/libs/gateway/sapphirehoist/gateway/codec.py
+++ b/libs/gateway/sapphirehoist/gateway/codec.py
@@ -71,6 +71,13 @@
     last_event_id: str = ""
     resumed_request_id: str = ""
 
+    @property
+    def stream_id(self) -> str:
+        """Return the id of the request that began the stream, where stated."""
+        if not self.last_event_id:
+            return self.request_id
+        return self.resumed_request_id or self.request_id
+
 
 @dataclass(frozen=True, slots=True)
 class DecodeFailure:
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -40,6 +40,7 @@
     StageInputs,
     TruncatedResponse,
 )
+from sapphirehoist.gateway.stream_origin_sync import StreamOriginSync
 from sapphirehoist.gateway.trace import RequestTrace
 from sapphirehoist.http1 import (
     EndpointConnectionPool,
@@ -74,6 +75,8 @@
 # With less time remaining, an endpoint could not answer before the deadline.
 _MIN_REMAINING_S = 0.02
 _RETRY_AFTER_S = 0.25
+# An engine that crashed is back after some seconds.
+_VERSION_RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +111,8 @@
         engine.
     crash_quarantine : CrashQuarantineSync
         Learns which requests crash engines, and holds them back.
+    stream_origins : StreamOriginSync
+        Knows the software version that began a stream.
     clock : Clock
         Monotonic time.
     metrics : Metrics
@@ -125,6 +130,7 @@
         "_crash_quarantine",
         "_retry_budget",
         "_service_placement",
+        "_stream_origins",
     )
 
     def __init__(
@@ -137,6 +143,7 @@
         generation_placement: GenerationPlacement,
         broadcast_prompt_parts: Callable[[list[str], str], None],
         crash_quarantine: CrashQuarantineSync,
+        stream_origins: StreamOriginSync,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -148,9 +155,36 @@
         self._generation_placement = generation_placement
         self._broadcast_prompt_parts = broadcast_prompt_parts
         self._crash_quarantine = crash_quarantine
+        self._stream_origins = stream_origins
         self._clock = clock
         self._metrics = metrics
 
+    def bind_stream(
+        self, context: RequestContext, progress: RequestProgress
+    ) -> ErrorResponse | None:
+        """Bind a stream that the caller takes up to the version that began it.
+
+        Return an error response if the stream cannot go on.
+        """
+        if not context.metadata.last_event_id or not context.is_resumable_stream:
+            return None
+        service = context.service.name
+        origin = self._stream_origins.find(context.metadata.stream_id, service)
+        if origin is None or origin.service != service:
+            return ErrorResponse(
+                ErrorReason.STREAM_NOT_RESUMABLE,
+                "not known which software version began the stream",
+                _RETRY_AFTER_S,
+            )
+        if not self._endpoints.is_version_in_service(service, origin.software_version):
+            return ErrorResponse(
+                ErrorReason.STREAM_NOT_RESUMABLE,
+                f"no endpoint of software version {origin.software_version}",
+                _VERSION_RETRY_AFTER_S,
+            )
+        progress.software_version = origin.software_version
+        return None
+
     def run(
         self,
         context: RequestContext,
@@ -185,10 +219,14 @@
             candidate = (
                 None
                 if error
-                else self._choose_endpoint(context, inputs, progress.tried_endpoints)
+                else self._choose_endpoint(
+                    context, inputs, progress.tried_endpoints, progress.software_version
+                )
             )
             if candidate is None:
-                error = error or self.check_backoff(context.service)
+                error = error or self.check_backoff(
+                    context.service, software_version=progress.software_version
+                )
                 return self._failure_outcome(progress, last_result, error)
             if inputs is not None and inputs.is_released:
                 return InputsGone()
@@ -208,13 +246,17 @@
                 return self._failure_outcome(progress, last_result, None)
 
     def check_backoff(
-        self, service: Service, available_in_s: float = 0.0
+        self,
+        service: Service,
+        available_in_s: float = 0.0,
+        software_version: str | None = None,
     ) -> ErrorResponse | None:
         """Return an error response if all endpoints of `service` asked for a pause.
 
-        A pause that ends within `available_in_s` is ignored.
+        A pause that ends within `available_in_s` is ignored. Only endpoints of
+        `software_version` are considered, unless it is None.
         """
-        backoff_s = self._endpoints.service_backoff_s(service.name)
+        backoff_s = self._endpoints.service_backoff_s(service.name, software_version)
         if backoff_s <= available_in_s:
             return None
         return ErrorResponse(
@@ -247,7 +289,7 @@
 
         The result is empty if the service has no endpoint.
         """
-        candidate = self._choose_endpoint(context, None, frozenset())
+        candidate = self._choose_endpoint(context, None, frozenset(), None)
         return candidate.zone if candidate is not None else ""
 
     def _make_attempt(
@@ -315,8 +357,11 @@
         context: RequestContext,
         inputs: StageInputs | None,
         tried_endpoints: Collection[str],
+        software_version: str | None,
     ) -> PlacementCandidate | None:
-        candidates = self._endpoints.candidates(context.service, tried_endpoints)
+        candidates = self._endpoints.candidates(
+            context.service, tried_endpoints, software_version
+        )
         if not candidates:
             return None
         policy = (
@@ -551,6 +596,8 @@
             if relay.forward(head, chunk):
                 if last_event_at is None:
                     self._crash_quarantine.record_start(context.shared_prompt_parts)
+                if progress.software_version is None:
+                    self._bind_to_first_endpoint(context, record, progress)
                 last_event_at = self._clock.monotonic()
                 self._end_prefill(record.name, progress)
                 trace.event_count = relay.event_count
@@ -568,6 +615,18 @@
             )
         return _AttemptResult(AttemptOutcome.ANSWERED, "", head)
 
+    def _bind_to_first_endpoint(
+        self, context: RequestContext, record: EndpointRecord, progress: RequestProgress
+    ) -> None:
+        """Bind a stream that begins to the version of the endpoint that began it."""
+        progress.software_version = record.software_version
+        if context.is_resumable_stream:
+            self._stream_origins.record_start(
+                context.metadata.stream_id,
+                record,
+                context.deadline_at - self._clock.monotonic(),
+            )
+
     def _read_stream_block(
         self,
         context: RequestContext,
@@ -612,7 +671,11 @@
         return (
             context.route.is_idempotent
             and progress.send_count + 1 < context.route.max_attempts
-            and bool(self._endpoints.candidates(service, progress.tried_endpoints))
+            and bool(
+                self._endpoints.candidates(
+                    service, progress.tried_endpoints, progress.software_version
+                )
+            )
             and self._retry_budget.is_available(service.name)
         )
 
--- a/libs/gateway/sapphirehoist/gateway/error_response.py
+++ b/libs/gateway/sapphirehoist/gateway/error_response.py
@@ -21,6 +21,7 @@
     ENDPOINTS_FULL = "endpoints_full"
     PROMPT_QUARANTINED = "prompt_quarantined"
     REQUEST_QUARANTINED = "request_quarantined"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     STAGE_FAILED = "stage_failed"
     TIMEOUT_NOT_RUN = "timeout_not_run"
     TIMEOUT = "timeout"
@@ -39,6 +40,7 @@
     ErrorReason.ENDPOINTS_FULL: 503,
     ErrorReason.PROMPT_QUARANTINED: 503,
     ErrorReason.REQUEST_QUARANTINED: 503,
+    ErrorReason.STREAM_NOT_RESUMABLE: 503,
     ErrorReason.STAGE_FAILED: 503,
     ErrorReason.TIMEOUT_NOT_RUN: 503,
     ErrorReason.TIMEOUT: 504,
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -182,6 +182,9 @@
         progress = RequestProgress(relay)
         timeout.start()
         try:
+            error = self._dispatcher.bind_stream(context, progress)
+            if error is not None:
+                return error
             return self._dispatch_with_stages(context, progress, exchange, trace)
         except gevent.Timeout as exc:
             if exc is not timeout:
@@ -235,7 +238,7 @@
         if routes.has_teams and not route.is_public and team is None:
             return ErrorResponse(ErrorReason.UNKNOWN_KEY, "no team has this key")
         trace.team = team.name if team is not None else ""
-        service = routes.get_service(pick_service(route, metadata.request_id))
+        service = routes.get_service(pick_service(route, metadata.stream_id))
         if service is None:
             return ErrorResponse(
                 ErrorReason.NO_ENDPOINT, "the route names no service", 1.0
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -19,6 +19,7 @@
     GenerationPlacement,
     PredictedPlacement,
     SharedRetryBudget,
+    StreamOrigins,
     UrgentFirstBatching,
 )
 from sapphirehoist.discovery import (
@@ -43,6 +44,7 @@
 from sapphirehoist.gateway.prompt_broadcast import PromptBroadcaster
 from sapphirehoist.gateway.region_read_sharing import RegionReaders
 from sapphirehoist.gateway.stage_scheduler import StageScheduler
+from sapphirehoist.gateway.stream_origin_sync import StreamOriginSync
 from sapphirehoist.http1 import CallerServer, EndpointConnectionPool
 from sapphirehoist.membership import DetectorConfig, FailureDetector, Fleet, Member
 from sapphirehoist.observability import Metrics, Timeline
@@ -248,6 +250,7 @@
             self._detector.run,
             self._stage_scheduler.run,
             self._prompt_broadcaster.run,
+            self._stream_origin_sync.run,
             self._run_periodic_maintenance,
         ):
             self._tasks.append(gevent.spawn(self._run_supervised, run))
@@ -499,6 +502,13 @@
             self._endpoint_connections.can_connect,
             self.metrics,
         )
+        self._stream_origin_sync = StreamOriginSync(
+            StreamOrigins(clock),
+            self.endpoint_directory,
+            self.fleet,
+            self._peer_bus,
+            clock,
+        )
         return Dispatcher(
             endpoints,
             self._endpoint_connections,
@@ -508,6 +518,7 @@
             placement,
             self._prompt_broadcaster.schedule_broadcast,
             self.crash_quarantine,
+            self._stream_origin_sync,
             clock,
             self.metrics,
         )
@@ -546,3 +557,4 @@
             self.endpoint_directory.remove_expired()
             self._endpoint_connections.close_stale()
             self.crash_quarantine.remove_expired()
+            self._stream_origin_sync.remove_expired()
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -11,7 +11,7 @@
 from sapphirehoist.gateway.relay import EventRelay
 from sapphirehoist.gateway.request_fingerprint import request_fingerprint
 from sapphirehoist.http1 import CallerRequest, ResponseHead
-from sapphirehoist.routes import Route, Service
+from sapphirehoist.routes import RequestKind, Route, Service
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +52,11 @@
     latency_target_at: float
     first_byte_limit_at: float
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Return whether another endpoint may continue the response, a stream."""
+        return self.route.kind is RequestKind.STREAMING and self.route.is_resumable
+
     @property
     def shared_prompt_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that other requests may have too."""
@@ -142,6 +147,8 @@
         Monotonic time at which the last attempt started.
     is_quarantine_trial : bool
         Whether the request is sent to test a quarantined part of its prompt.
+    software_version : str or None
+        Software version that began the stream; None if no event was sent yet.
     streamed_head : ResponseHead or None
         Head of the stream of which the caller has received a part.
     pending_prefill_tokens : int
@@ -156,6 +163,7 @@
         "pending_prefill_tokens",
         "relay",
         "send_count",
+        "software_version",
         "streamed_head",
         "tried_endpoints",
     )
@@ -168,5 +176,6 @@
         self.is_attempt_in_flight = False
         self.attempt_started_at = 0.0
         self.is_quarantine_trial = False
+        self.software_version: str | None = None
         self.streamed_head: ResponseHead | None = None
         self.pending_prefill_tokens = 0
--- /dev/null
+++ b/libs/gateway/sapphirehoist/gateway/stream_origin_sync.py
@@ -0,0 +1,262 @@
+"""Tells other nodes which software version began a stream, and asks them.
+
+While one software version serves, every node knows the origin of each stream, and
+nothing is sent. Otherwise a few nodes hold the origin of each stream: the one that
+relays its first event, and others that are chosen by a hash of its request id.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import ClassVar
+
+import gevent
+
+from sapphirehoist.clock import Clock
+from sapphirehoist.decisions import (
+    StreamOrigin,
+    StreamOrigins,
+    TrackedStream,
+    infer_origin,
+    stream_holders,
+)
+from sapphirehoist.discovery import EndpointDirectory, EndpointRecord
+from sapphirehoist.membership import Fleet, Member
+from sapphirehoist.peers import NoReply, PeerBus, PeerMessage
+
+_SEND_INTERVAL_S = 0.05
+_HOLDER_COUNT = 3
+# Members that have joined or left since change the ranks of the others.
+_ASKED_COUNT = 5
+_LOOKUP_TIMEOUT_S = 0.5
+# A caller that takes its stream up just before its deadline may reach a node after it.
+_EXPIRY_MARGIN_S = 2.0
+
+_logger = logging.getLogger(__name__)
+
+
+class StreamOriginEntry(PeerMessage, frozen=True, array_like=True):
+    """One stream; see `TrackedStream`."""
+
+    KIND: ClassVar[str] = "gateway.stream_origin"
+
+    request_id: str
+    service: str
+    software_version: str
+    remaining_s: float
+
+
+class StreamOriginsUpdate(PeerMessage, frozen=True, array_like=True):
+    """Asks the receiver to hold the origins of streams."""
+
+    KIND: ClassVar[str] = "gateway.stream_origins"
+
+    entries: list[StreamOriginEntry]
+
+
+class StreamOriginRequest(PeerMessage, frozen=True, array_like=True):
+    """Requests the origin of a stream of `service`."""
+
+    KIND: ClassVar[str] = "gateway.stream_origin_request"
+
+    request_id: str
+    service: str
+
+
+class StreamOriginReply(PeerMessage, frozen=True, array_like=True):
+    """The origin of a stream, if the sender knows it.
+
+    Attributes
+    ----------
+    origins : list of StreamOriginEntry
+        The stream; empty if the sender does not know it.
+    recent_versions : list of str
+        Software versions that the sender has lately seen at the service.
+    """
+
+    KIND: ClassVar[str] = "gateway.stream_origin_reply"
+
+    origins: list[StreamOriginEntry]
+    recent_versions: list[str]
+
+
+class StreamOriginSync:
+    """Records the origins of streams here and at their holders, and finds them.
+
+    Parameters
+    ----------
+    origins : StreamOrigins
+        Origins known to this node.
+    directory : EndpointDirectory
+        Knows which software versions serve.
+    fleet : Fleet
+        Members among which holders are chosen.
+    bus : PeerBus
+        Exchanges messages with holders.
+    clock : Clock
+        Determines the time between updates.
+    """
+
+    __slots__ = (
+        "_bus",
+        "_clock",
+        "_directory",
+        "_fleet",
+        "_mixed_services",
+        "_origins",
+        "_unsent",
+    )
+
+    def __init__(
+        self,
+        origins: StreamOrigins,
+        directory: EndpointDirectory,
+        fleet: Fleet,
+        bus: PeerBus,
+        clock: Clock,
+    ) -> None:
+        self._origins = origins
+        self._directory = directory
+        self._fleet = fleet
+        self._bus = bus
+        self._clock = clock
+        self._mixed_services: set[str] = set()
+        self._unsent: list[TrackedStream] = []
+        bus.subscribe(StreamOriginsUpdate, self._handle_update)
+        bus.subscribe(StreamOriginRequest, self._handle_request)
+
+    def record_start(
+        self, request_id: str, endpoint: EndpointRecord, remaining_s: float
+    ) -> None:
+        """Record that `endpoint` has sent the first event of a stream.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the caller's request that began the stream.
+        endpoint : EndpointRecord
+            The endpoint that sent the event.
+        remaining_s : float
+            Time until the caller's deadline.
+        """
+        origin = StreamOrigin(endpoint.service, endpoint.software_version)
+        stream = TrackedStream(request_id, origin, remaining_s + _EXPIRY_MARGIN_S)
+        self._origins.record(stream)
+        if endpoint.service in self._mixed_services:
+            self._unsent.append(stream)
+
+    def find(self, request_id: str, service: str) -> StreamOrigin | None:
+        """Return where a stream began that a caller takes up; None if in doubt.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the caller's request that began the stream; empty if not stated.
+        service : str
+            Service at which the stream would go on.
+        """
+        origin = self._origins.get(request_id)
+        if origin is not None:
+            return origin
+        versions = set(self._directory.recent_versions(service))
+        replies = self._ask_holders(StreamOriginRequest(request_id, service))
+        for reply in replies:
+            if reply.origins:
+                stream = _to_stream(reply.origins[0])
+                self._origins.record(stream)
+                return stream.origin
+            versions.update(reply.recent_versions)
+        if not replies and self._fleet.other_members():
+            # A node that reaches no other one may have missed versions, too.
+            return None
+        return infer_origin(service, versions)
+
+    def run(self) -> None:
+        """Send origins to their holders at a fixed interval, until killed."""
+        while True:
+            self._clock.sleep(_SEND_INTERVAL_S)
+            self._update_mixed_services()
+            if self._unsent:
+                streams, self._unsent = self._unsent, []
+                self._send(streams)
+
+    def remove_expired(self) -> None:
+        """Discard the streams that no caller takes up any more."""
+        self._origins.remove_expired()
+
+    def _update_mixed_services(self) -> None:
+        """Notice which services have several versions; send their present streams."""
+        mixed_services = {
+            service
+            for service in self._directory.services()
+            if len(self._directory.recent_versions(service)) > 1
+        }
+        for service in mixed_services - self._mixed_services:
+            self._unsent.extend(self._origins.streams_of(service))
+            _logger.info(
+                "several software versions serve",
+                extra={
+                    "service": service,
+                    "versions": sorted(self._directory.recent_versions(service)),
+                },
+            )
+        self._mixed_services = mixed_services
+
+    def _send(self, streams: Iterable[TrackedStream]) -> None:
+        members = {member.vm: member for member in self._fleet.other_members()}
+        by_holder: dict[str, list[StreamOriginEntry]] = {}
+        for stream in streams:
+            for vm in stream_holders(stream.request_id, members, _HOLDER_COUNT):
+                by_holder.setdefault(vm, []).append(_to_entry(stream))
+        for vm, entries in by_holder.items():
+            self._bus.notify(members[vm].peer_address, StreamOriginsUpdate(entries))
+
+    def _ask_holders(self, request: StreamOriginRequest) -> list[StreamOriginReply]:
+        """Return the replies of holders, up to the first one that knows the stream."""
+        members = {member.vm: member for member in self._fleet.other_members()}
+        asked = stream_holders(request.request_id, members, _ASKED_COUNT)
+        calls = [gevent.spawn(self._ask, members[vm], request) for vm in asked]
+        replies = []
+        for call in gevent.iwait(calls, timeout=_LOOKUP_TIMEOUT_S):
+            reply = call.get()
+            if not isinstance(reply, NoReply):
+                replies.append(reply)
+                if reply.origins:
+                    break
+        return replies
+
+    def _ask(
+        self, member: Member, request: StreamOriginRequest
+    ) -> StreamOriginReply | NoReply:
+        return self._bus.request(
+            member.peer_address, request, StreamOriginReply, _LOOKUP_TIMEOUT_S
+        )
+
+    def _handle_update(self, sender: str, update: StreamOriginsUpdate) -> None:
+        for entry in update.entries:
+            self._origins.record(_to_stream(entry))
+
+    def _handle_request(
+        self, sender: str, request: StreamOriginRequest
+    ) -> StreamOriginReply:
+        versions = sorted(self._directory.recent_versions(request.service))
+        origin = self._origins.get(request.request_id)
+        if origin is None:
+            return StreamOriginReply([], versions)
+        stream = TrackedStream(request.request_id, origin, _EXPIRY_MARGIN_S)
+        return StreamOriginReply([_to_entry(stream)], versions)
+
+
+def _to_entry(stream: TrackedStream) -> StreamOriginEntry:
+    return StreamOriginEntry(
+        stream.request_id,
+        stream.origin.service,
+        stream.origin.software_version,
+        stream.remaining_s,
+    )
+
+
+def _to_stream(entry: StreamOriginEntry) -> TrackedStream:
+    origin = StreamOrigin(entry.service, entry.software_version)
+    return TrackedStream(entry.request_id, origin, entry.remaining_s)
