Name the message that clears traits by what it says

Cause: StartedPartsUpdate also clears requests that were answered completely. Change: ClearedTraitsUpdate; its kind on the wire is unchanged.

--- a/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
@@ -50,7 +50,7 @@
     traits: list[str]
 
 
-class StartedPartsUpdate(PeerMessage, frozen=True, array_like=True):
+class ClearedTraitsUpdate(PeerMessage, frozen=True, array_like=True):
     """Reports that traits which were suspect are cleared."""
 
     KIND: ClassVar[str] = "gateway.started_parts"
@@ -129,7 +129,7 @@
         self._unverified_traits: dict[EngineCrash, list[str]] = {}
         fleet.add_digest(Digest("quarantine", self._read_digest, self._reconcile))
         fleet.subscribe_updates(EngineCrashReport, self._handle_crash)
-        fleet.subscribe_updates(StartedPartsUpdate, self._handle_started)
+        fleet.subscribe_updates(ClearedTraitsUpdate, self._handle_cleared)
         fleet.subscribe_updates(QuarantineUpdate, self._handle_state)
         bus.subscribe(QuarantineRequest, self._handle_request)
 
@@ -156,7 +156,7 @@
         suspect = [trait for trait in traits if self._quarantine.is_suspect(trait)]
         self._publish(self._quarantine.record_start(traits))
         if suspect:
-            self._fleet.broadcast(StartedPartsUpdate(suspect))
+            self._fleet.broadcast(ClearedTraitsUpdate(suspect))
 
     def record_lost(self, engine: EndpointRecord, traits: Sequence[str]) -> None:
         """Record that a request was lost at an engine, which makes `traits` suspect.
@@ -212,7 +212,7 @@
         self._publish(self._quarantine.record_crash(crash, new_traits))
         return True
 
-    def _handle_started(self, update: StartedPartsUpdate) -> bool:
+    def _handle_cleared(self, update: ClearedTraitsUpdate) -> bool:
         is_new = any(self._quarantine.is_suspect(trait) for trait in update.traits)
         self._publish(self._quarantine.record_start(update.traits))
         return is_new
