Log what several VMs see of an endpoint that one takes for crashed

The verdict is logged and counted; nothing follows from it yet. Connections are opened by an EndpointConnector that is passed in.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -45,6 +45,11 @@
 )
 from sapphirehoist.decisions.endpoint_loads import EndpointLoad, EndpointLoads
 from sapphirehoist.decisions.forecast import CallerTimeouts, ForecastCorrection
+from sapphirehoist.decisions.path_evidence import (
+    PathObservation,
+    PathVerdict,
+    judge_endpoint,
+)
 from sapphirehoist.decisions.placement import (
     Distance,
     GenerationPlacement,
@@ -114,6 +119,8 @@
     "LimitState",
     "NearestStageEndpointPolicy",
     "NotAdmitted",
+    "PathObservation",
+    "PathVerdict",
     "PlacementCandidate",
     "PlacementPolicy",
     "PlacementRequest",
@@ -141,6 +148,7 @@
     "endpoint_subset",
     "infer_origin",
     "is_request_trait",
+    "judge_endpoint",
     "limit_share",
     "most_capable",
     "rendezvous_score",
--- a/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
@@ -20,6 +20,7 @@
     is_request_trait,
 )
 from sapphirehoist.discovery import EndpointRecord
+from sapphirehoist.gateway.path_check import EndpointPathCheck
 from sapphirehoist.membership import Digest, Fleet, Member
 from sapphirehoist.messages import element_digest
 from sapphirehoist.observability import Metrics
@@ -96,6 +97,8 @@
         Requests the states of a peer.
     can_connect : callable
         Returns whether an endpoint address accepts a connection.
+    path_check : EndpointPathCheck
+        Compares what this node sees of an endpoint with what others see.
     metrics : Metrics
         Receives ``engine_crashes_total``, ``prompt_quarantines_total``,
         ``prompt_trials_total``, ``request_quarantines_total`` and
@@ -107,6 +110,7 @@
         "_can_connect",
         "_fleet",
         "_metrics",
+        "_path_check",
         "_quarantine",
         "_unverified_traits",
     )
@@ -117,12 +121,14 @@
         fleet: Fleet,
         bus: PeerBus,
         can_connect: Callable[[str], bool],
+        path_check: EndpointPathCheck,
         metrics: Metrics,
     ) -> None:
         self._quarantine = quarantine
         self._fleet = fleet
         self._bus = bus
         self._can_connect = can_connect
+        self._path_check = path_check
         self._metrics = metrics
         # Traits of requests that were lost at an engine, until it is known whether the
         # engine crashed.
@@ -171,7 +177,7 @@
             pending.extend(traits)
             return
         self._unverified_traits[crash] = list(traits)
-        gevent.spawn(self._report_if_crashed, crash, engine.address)
+        gevent.spawn(self._report_if_crashed, crash, engine)
 
     def report_crash(self, crash: EngineCrash, traits: Sequence[str]) -> None:
         """Report to all nodes that an engine crashed on requests with `traits`."""
@@ -185,13 +191,14 @@
         """Discard what is too old to matter."""
         self._publish(self._quarantine.remove_expired())
 
-    def _report_if_crashed(self, crash: EngineCrash, address: str) -> None:
+    def _report_if_crashed(self, crash: EngineCrash, engine: EndpointRecord) -> None:
         try:
-            has_crashed = not self._can_connect(address)
+            has_crashed = not self._can_connect(engine.address)
         finally:
             traits = self._unverified_traits.pop(crash)
         if has_crashed:
             self.report_crash(crash, traits)
+            self._path_check.check(engine)
 
     def _handle_crash(self, report: EngineCrashReport) -> bool:
         """Apply a report; return whether it is new and has to be forwarded."""
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -39,13 +39,18 @@
 from sapphirehoist.gateway.endpoint_queue import QueueDependencies
 from sapphirehoist.gateway.handler import RequestHandler
 from sapphirehoist.gateway.initial_state_sync import InitialStateSync
+from sapphirehoist.gateway.path_check import EndpointPathCheck
 from sapphirehoist.gateway.peer_discovery import PeerDiscovery
 from sapphirehoist.gateway.peer_state_sync import PeerStateSync
 from sapphirehoist.gateway.prompt_broadcast import PromptBroadcaster
 from sapphirehoist.gateway.region_read_sharing import RegionReaders
 from sapphirehoist.gateway.stage_scheduler import StageScheduler
 from sapphirehoist.gateway.stream_origin_sync import StreamOriginSync
-from sapphirehoist.http1 import CallerServer, EndpointConnectionPool
+from sapphirehoist.http1 import (
+    CallerServer,
+    EndpointConnectionPool,
+    EndpointConnector,
+)
 from sapphirehoist.membership import DetectorConfig, FailureDetector, Fleet, Member
 from sapphirehoist.observability import Metrics, Timeline
 from sapphirehoist.peers import PeerBus, PeerTransport
@@ -171,6 +176,8 @@
     get_entry_content : callable
         Returns what matters to all nodes of an endpoint's entry; entries are written
         again all the time.
+    endpoint_connector : EndpointConnector
+        Opens connections to endpoints from this VM.
     """
 
     clock: Clock
@@ -185,6 +192,7 @@
     create_endpoint_listener: Callable[[EndpointDirectory], TableListener]
     store_era: StoreEra
     get_entry_content: Callable[[bytes], object]
+    endpoint_connector: EndpointConnector
 
 
 class GatewayNode:
@@ -440,7 +448,9 @@
             self._limit_share,
             self._limit_sync.publish,
         )
-        self._endpoint_connections = EndpointConnectionPool(clock, metrics)
+        self._endpoint_connections = EndpointConnectionPool(
+            dependencies.endpoint_connector, clock, metrics
+        )
         retry_budget = self._retry_budget = SharedRetryBudget(
             settings.repeat_ratio,
             settings.repeat_allowance,
@@ -500,6 +510,14 @@
             self.fleet,
             self._peer_bus,
             self._endpoint_connections.can_connect,
+            EndpointPathCheck(
+                self._dependencies.endpoint_connector,
+                self.endpoint_directory,
+                self.fleet,
+                self._peer_bus,
+                self._dependencies.random,
+                self.metrics,
+            ),
             self.metrics,
         )
         self._stream_origin_sync = StreamOriginSync(
--- a/libs/http1/sapphirehoist/http1/__init__.py
+++ b/libs/http1/sapphirehoist/http1/__init__.py
@@ -6,10 +6,15 @@
     EndpointConnectionPool,
     EndpointResponse,
     Lost,
-    NotSent,
     OutboundRequest,
     TruncatedBody,
 )
+from sapphirehoist.http1.connector import (
+    EndpointConnector,
+    EndpointSocket,
+    NotSent,
+    TcpConnector,
+)
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
 from sapphirehoist.http1.server import (
     CallerDisconnected,
@@ -23,7 +28,9 @@
     "CallerRequest",
     "CallerServer",
     "EndpointConnectionPool",
+    "EndpointConnector",
     "EndpointResponse",
+    "EndpointSocket",
     "Exchange",
     "Headers",
     "Lost",
@@ -31,5 +38,6 @@
     "OutboundRequest",
     "RequestHead",
     "ResponseHead",
+    "TcpConnector",
     "TruncatedBody",
 ]
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -13,16 +13,12 @@
 
 import gevent
 import h11
-from gevent import socket
 
 from sapphirehoist.clock import Clock
+from sapphirehoist.http1.connector import EndpointConnector, EndpointSocket, NotSent
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
 from sapphirehoist.observability import Metrics
-from sapphirehoist.sockets import configure_tcp_socket
 
-# Covers one SYN retransmission, which TCP sends after 1 s, and a round trip between
-# regions of 40 ms.
-_CONNECT_TIMEOUT_S = 1.2
 _RECEIVE_BYTES = 65_536
 # A request of this size fits into the kernel's buffers, so it is written before the
 # response is awaited; a larger one is sent by a task of its own.
@@ -42,13 +38,6 @@
 _RECEIVES_PER_YIELD = 16
 
 
-@dataclass(frozen=True, slots=True)
-class NotSent:
-    """No connection could be established, so no byte of the request was sent."""
-
-    detail: str
-
-
 @dataclass(frozen=True, slots=True)
 class Lost:
     """The request may have arrived, but its response was not received."""
@@ -124,7 +113,7 @@
     ----------
     address : str
         ``IP:PORT`` of the endpoint, for error details.
-    sock : socket
+    sock : EndpointSocket
         Connected socket.
     on_idle : callable
         Called with the connection when it can serve another request.
@@ -159,7 +148,7 @@
     def __init__(
         self,
         address: str,
-        sock: socket.socket,
+        sock: EndpointSocket,
         on_idle: Callable[[EndpointConnection], None],
     ) -> None:
         self._address = address
@@ -317,15 +306,20 @@
 
     Parameters
     ----------
+    connector : EndpointConnector
+        Opens connections.
     clock : Clock
         Measures the idle time of connections.
     metrics : Metrics
         Counts ``endpoint_connections_total``.
     """
 
-    __slots__ = ("_clock", "_idle", "_metrics")
+    __slots__ = ("_clock", "_connector", "_idle", "_metrics")
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, connector: EndpointConnector, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._connector = connector
         self._clock = clock
         self._metrics = metrics
         self._idle: dict[str, list[EndpointConnection]] = {}
@@ -416,20 +410,9 @@
         return self._clock.monotonic() - conn.idle_since < limit_s
 
     def _connect(self, address: str) -> EndpointConnection | NotSent:
-        host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        is_connected = False
-        try:
-            configure_tcp_socket(sock)
-            sock.settimeout(_CONNECT_TIMEOUT_S)
-            sock.connect((host, int(port)))
-            sock.settimeout(None)
-            is_connected = True
-        except OSError as exc:
-            return NotSent(f"{address}: no connection: {exc}")
-        finally:
-            if not is_connected:
-                sock.close()
+        sock = self._connector.connect(address)
+        if isinstance(sock, NotSent):
+            return sock
         self._metrics.count("endpoint_connections_total")
         return EndpointConnection(address, sock, self._idle_callback(address))
 
--- /dev/null
+++ b/libs/http1/sapphirehoist/http1/connector.py
@@ -0,0 +1,68 @@
+"""Opens connections to endpoints."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Protocol
+
+from gevent import socket
+
+from sapphirehoist.sockets import configure_tcp_socket
+
+# Covers one SYN retransmission, which TCP sends after 1 s, and a round trip between
+# regions of 40 ms.
+_CONNECT_TIMEOUT_S = 1.2
+
+
+class EndpointSocket(Protocol):
+    """The part of a socket's interface that connections to endpoints use."""
+
+    def sendall(self, data: bytes, /) -> None:
+        """Send all of `data`."""
+
+    def recv(self, size: int, /) -> bytes:
+        """Return received bytes, at most `size`; empty bytes at the end."""
+
+    def fileno(self) -> int:
+        """Return the file descriptor."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No connection could be established, so no byte of the request was sent."""
+
+    detail: str
+
+
+class EndpointConnector(ABC):
+    """Opens connections to endpoints."""
+
+    @abstractmethod
+    def connect(self, address: str) -> EndpointSocket | NotSent:
+        """Return a socket that is connected to ``IP:PORT``, or why there is none."""
+
+
+class TcpConnector(EndpointConnector):
+    """Opens TCP connections from this VM."""
+
+    def connect(self, address: str) -> EndpointSocket | NotSent:
+        """Return a socket that is connected to ``IP:PORT``, or why there is none."""
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        is_connected = False
+        try:
+            configure_tcp_socket(sock)
+            sock.settimeout(_CONNECT_TIMEOUT_S)
+            sock.connect((host, int(port)))
+            sock.settimeout(None)
+            is_connected = True
+        except OSError as exc:
+            return NotSent(f"{address}: no connection: {exc}")
+        finally:
+            if not is_connected:
+                sock.close()
+        return sock
--- a/libs/http1/sapphirehoist/http1/tests/test_client.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_client.py
@@ -19,6 +19,7 @@
     NotSent,
     OutboundRequest,
     RequestHead,
+    TcpConnector,
     TruncatedBody,
 )
 from sapphirehoist.http1.messages import ResponseHead
@@ -62,7 +63,7 @@
 
 @pytest.fixture
 def connections() -> EndpointConnectionPool:
-    return EndpointConnectionPool(SystemClock(), Metrics())
+    return EndpointConnectionPool(TcpConnector(), SystemClock(), Metrics())
 
 
 def is_matching(head: ResponseHead, is_reused: bool) -> bool:
