Report an engine as crashed only on the evidence of several VMs

What callers saw: after a VM had lost its path, 22 reports of crashes at every VM that named nine endpoints which served all others (lost-paths); such reports can quarantine sound requests. Cause: a lost attempt and then a refused connection were published as a crash. A VM without a path sees just that at every endpoint. Class of fault: what one VM sees from its place is told to the fleet as a fact about the endpoint. Fix: a report needs the verdict of EndpointPathCheck: no VM that was asked connects, and another VM that reaches other endpoints says so. Endpoints known as down are not compared with, so that a pool that crashes as a whole is still reported.

Run twice: test_lost_paths, test_crashing_prompts, test_repeated_requests, libs/http1: 43 passed, 4 xfailed.

--- a/libs/decisions/sapphirehoist/decisions/path_evidence.py
+++ b/libs/decisions/sapphirehoist/decisions/path_evidence.py
@@ -19,7 +19,8 @@
     REACHED
         The endpoint accepted a connection.
     UNREACHED
-        It did not, while other endpoints accepted one, or there is no other endpoint.
+        It did not, while another endpoint accepted one, or all others are known to have
+        failed.
     NO_PATH
         Neither it nor any other endpoint that was tried accepted a connection.
     """
--- a/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import ClassVar
 
 import gevent
@@ -15,6 +15,7 @@
 from sapphirehoist.decisions import (
     CrashQuarantine,
     EngineCrash,
+    PathVerdict,
     QuarantineHold,
     QuarantineState,
     is_request_trait,
@@ -95,8 +96,6 @@
         Floods reports and states, and compares digests of the states.
     bus : PeerBus
         Requests the states of a peer.
-    can_connect : callable
-        Returns whether an endpoint address accepts a connection.
     path_check : EndpointPathCheck
         Compares what this node sees of an endpoint with what others see.
     metrics : Metrics
@@ -107,7 +106,6 @@
 
     __slots__ = (
         "_bus",
-        "_can_connect",
         "_fleet",
         "_metrics",
         "_path_check",
@@ -120,14 +118,12 @@
         quarantine: CrashQuarantine,
         fleet: Fleet,
         bus: PeerBus,
-        can_connect: Callable[[str], bool],
         path_check: EndpointPathCheck,
         metrics: Metrics,
     ) -> None:
         self._quarantine = quarantine
         self._fleet = fleet
         self._bus = bus
-        self._can_connect = can_connect
         self._path_check = path_check
         self._metrics = metrics
         # Traits of requests that were lost at an engine, until it is known whether the
@@ -167,7 +163,7 @@
     def record_lost(self, engine: EndpointRecord, traits: Sequence[str]) -> None:
         """Record that a request was lost at an engine, which makes `traits` suspect.
 
-        The engine has crashed if it accepts no connection.
+        The engine has crashed if neither this node nor others can connect to it.
         """
         if not traits:
             return
@@ -193,12 +189,11 @@
 
     def _report_if_crashed(self, crash: EngineCrash, engine: EndpointRecord) -> None:
         try:
-            has_crashed = not self._can_connect(engine.address)
+            verdict = self._path_check.check(engine)
         finally:
             traits = self._unverified_traits.pop(crash)
-        if has_crashed:
+        if verdict is PathVerdict.ENDPOINT_DOWN:
             self.report_crash(crash, traits)
-            self._path_check.check(engine)
 
     def _handle_crash(self, report: EngineCrashReport) -> bool:
         """Apply a report; return whether it is new and has to be forwarded."""
@@ -206,6 +201,7 @@
         new_traits = self._quarantine.unreported_traits(crash, report.traits)
         if not new_traits:
             return False
+        self._path_check.record_down(report.engine)
         self._metrics.count("engine_crashes_total")
         _logger.info(
             "engine crashed",
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -509,12 +509,12 @@
             CrashQuarantine(clock, self._dependencies.random),
             self.fleet,
             self._peer_bus,
-            self._endpoint_connections.can_connect,
             EndpointPathCheck(
                 self._dependencies.endpoint_connector,
                 self.endpoint_directory,
                 self.fleet,
                 self._peer_bus,
+                clock,
                 self._dependencies.random,
                 self.metrics,
             ),
--- a/libs/gateway/sapphirehoist/gateway/path_check.py
+++ b/libs/gateway/sapphirehoist/gateway/path_check.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import PathObservation, PathVerdict, judge_endpoint
 from sapphirehoist.discovery import EndpointDirectory, EndpointRecord
 from sapphirehoist.http1 import EndpointConnector, NotSent
@@ -22,6 +23,8 @@
 _COMPARISON_DELAY_S = 0.25
 # Covers the timeout of a connection attempt after that delay.
 _REPLY_TIMEOUT_S = 1.8
+# An endpoint that has crashed is back after some seconds.
+_DOWN_RETENTION_S = 5.0
 
 _logger = logging.getLogger(__name__)
 
@@ -56,13 +59,24 @@
         Nodes that can be asked.
     bus : PeerBus
         Exchanges messages with them.
+    clock : Clock
+        Monotonic time.
     random : Random
         Chooses nodes, and endpoints for comparison.
     metrics : Metrics
         Receives ``endpoint_path_checks_total``.
     """
 
-    __slots__ = ("_bus", "_connector", "_directory", "_fleet", "_metrics", "_random")
+    __slots__ = (
+        "_bus",
+        "_clock",
+        "_connector",
+        "_directory",
+        "_down_since",
+        "_fleet",
+        "_metrics",
+        "_random",
+    )
 
     def __init__(
         self,
@@ -70,6 +84,7 @@
         directory: EndpointDirectory,
         fleet: Fleet,
         bus: PeerBus,
+        clock: Clock,
         random: Random,
         metrics: Metrics,
     ) -> None:
@@ -77,22 +92,25 @@
         self._directory = directory
         self._fleet = fleet
         self._bus = bus
+        self._clock = clock
+        self._down_since: dict[str, float] = {}
         self._random = random
         self._metrics = metrics
         bus.subscribe(PathObservationRequest, self._handle_request)
 
     def check(self, endpoint: EndpointRecord) -> PathVerdict:
-        """Connect to `endpoint` from this VM and from some others."""
+        """Connect to `endpoint` from this VM and, where that fails, from others."""
+        own_call = gevent.spawn(self._observe, endpoint)
+        own_call.join(_COMPARISON_DELAY_S)
+        if own_call.ready() and own_call.get() is PathObservation.REACHED:
+            return PathVerdict.ENDPOINT_UP
         members = self._fleet.other_members()
         asked = self._random.sample(members, min(_ASKED_NODES, len(members)))
-        own_call = gevent.spawn(self._observe, endpoint)
         calls = [gevent.spawn(self._ask, member, endpoint) for member in asked]
-        gevent.joinall([own_call, *calls])
-        observations = {
-            member.vm: call.get()
-            for member, call in zip(asked, calls, strict=True)
-            if call.get() is not None
-        }
+        replies = [
+            (member.vm, call.get()) for member, call in zip(asked, calls, strict=True)
+        ]
+        observations = {vm: reply for vm, reply in replies if reply is not None}
         own = own_call.get()
         verdict = judge_endpoint(own, observations.values(), is_alone=not members)
         self._metrics.count("endpoint_path_checks_total", verdict=verdict.value)
@@ -108,17 +126,30 @@
         )
         return verdict
 
+    def record_down(self, endpoint: str) -> None:
+        """Record that an endpoint has crashed, so that nothing is compared with it."""
+        self._down_since[endpoint] = self._clock.monotonic()
+
+    def _is_down(self, endpoint: str) -> bool:
+        down_since = self._down_since.get(endpoint)
+        if down_since is None:
+            return False
+        if self._clock.monotonic() - down_since < _DOWN_RETENTION_S:
+            return True
+        del self._down_since[endpoint]
+        return False
+
     def _observe(self, endpoint: EndpointRecord) -> PathObservation:
+        own_call = gevent.spawn(self._can_connect, endpoint)
+        own_call.join(_COMPARISON_DELAY_S)
+        if own_call.ready() and own_call.get():
+            return PathObservation.REACHED
         compared = [
             record
             for record in self._directory.list_all()
-            if record.address != endpoint.address
+            if record.address != endpoint.address and not self._is_down(record.name)
         ]
         sample = self._random.sample(compared, min(_COMPARED_ENDPOINTS, len(compared)))
-        own_call = gevent.spawn(self._can_connect, endpoint)
-        own_call.join(_COMPARISON_DELAY_S)
-        if own_call.ready() and own_call.get():
-            return PathObservation.REACHED
         calls = [gevent.spawn(self._can_connect, record) for record in sample]
         if own_call.get():
             return PathObservation.REACHED
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -367,14 +367,6 @@
             if not has_outcome:
                 conn.close()
 
-    def can_connect(self, address: str) -> bool:
-        """Return whether `address` accepts a connection, which is kept for reuse."""
-        connected = self._connect(address)
-        if isinstance(connected, NotSent):
-            return False
-        self._idle_callback(address)(connected)
-        return True
-
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an endpoint that no longer exists."""
         for conn in self._idle.pop(address, []):
