Reach endpoints through other VMs where a VM has lost its own path

Cause: a VM had no way to an endpoint but its own, and kept requests until they timed out. Class of fault: the path from one VM is a single point of failure for all that the VM is in charge of. Fix: TunnelConnector opens the connection through another VM if its own is not up at once, and uses the first one; nothing is sent before, so that retries, deadlines, cancellation and at-most-once execution stay with one node.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -44,6 +44,7 @@
     limit_share,
 )
 from sapphirehoist.decisions.endpoint_loads import EndpointLoad, EndpointLoads
+from sapphirehoist.decisions.endpoint_paths import EndpointPaths
 from sapphirehoist.decisions.forecast import CallerTimeouts, ForecastCorrection
 from sapphirehoist.decisions.path_evidence import (
     PathObservation,
@@ -59,6 +60,7 @@
     PlacementRequest,
     PredictedPlacement,
     PromptPart,
+    zone_distance,
 )
 from sapphirehoist.decisions.retries import (
     AttemptFailure,
@@ -87,6 +89,7 @@
 )
 from sapphirehoist.decisions.subset import endpoint_subset, rendezvous_score
 from sapphirehoist.decisions.team_shares import TeamShares
+from sapphirehoist.decisions.tunnel_helpers import TunnelHelper, TunnelHelpers
 
 __all__ = [
     "MAX_BACKOFF_S",
@@ -109,6 +112,7 @@
     "EndpointLimits",
     "EndpointLoad",
     "EndpointLoads",
+    "EndpointPaths",
     "EngineCrash",
     "ForecastCorrection",
     "GenerationPlacement",
@@ -143,6 +147,8 @@
     "StreamOrigins",
     "TeamShares",
     "TrackedStream",
+    "TunnelHelper",
+    "TunnelHelpers",
     "UnlimitedRetry",
     "UrgentFirstBatching",
     "endpoint_subset",
@@ -156,4 +162,5 @@
     "stall_timeout_s",
     "stream_holders",
     "urgency_level",
+    "zone_distance",
 ]
--- a/libs/decisions/sapphirehoist/decisions/endpoint_loads.py
+++ b/libs/decisions/sapphirehoist/decisions/endpoint_loads.py
@@ -167,6 +167,13 @@
             return False
         return self._eject(endpoint, pool)
 
+    def forgive_failures(self, endpoint: str) -> None:
+        """Discard failures of `endpoint` that were not its own, and their ejections."""
+        load = self._loads.get(endpoint)
+        if load is not None:
+            load.consecutive_failures = load.consecutive_ejections = 0
+            load.ejected_until = 0.0
+
     def eject_if_slow(self, endpoint: str, pool: list[str]) -> bool:
         """Eject `endpoint` if it is much slower than the median of `pool`.
 
--- a/libs/decisions/sapphirehoist/decisions/placement.py
+++ b/libs/decisions/sapphirehoist/decisions/placement.py
@@ -47,6 +47,28 @@
     OTHER_REGION = 2
 
 
+def zone_distance(zone: str, other: str, regions: Mapping[str, str]) -> Distance:
+    """Return the distance between two availability zones.
+
+    Parameters
+    ----------
+    zone, other : str
+        The availability zones.
+    regions : mapping of str to str
+        Region of each availability zone.
+
+    Examples
+    --------
+    >>> zone_distance("a-1", "a-2", {"a-1": "a", "a-2": "a"}).name
+    'SAME_REGION'
+    """
+    if zone == other:
+        return Distance.SAME_ZONE
+    if regions.get(zone, zone) == regions.get(other, other):
+        return Distance.SAME_REGION
+    return Distance.OTHER_REGION
+
+
 _DISTANCE_COST_S = {
     Distance.SAME_ZONE: _SAME_ZONE_COST_S,
     Distance.SAME_REGION: _SAME_REGION_COST_S,
--- a/libs/gateway/sapphirehoist/gateway/candidates.py
+++ b/libs/gateway/sapphirehoist/gateway/candidates.py
@@ -13,6 +13,7 @@
     EndpointLoads,
     LimitState,
     PlacementCandidate,
+    zone_distance,
 )
 from sapphirehoist.discovery import (
     Departure,
@@ -50,11 +51,14 @@
         use at an endpoint.
     publish_limit : callable
         Publishes a limit that an endpoint named to this node.
+    forward_pause : callable
+        Forwards a pause in seconds to the VMs through which the endpoint was reached.
     """
 
     __slots__ = (
         "_backoff",
         "_directory",
+        "_forward_pause",
         "_generation_tokens",
         "_get_limit_share",
         "_limits",
@@ -75,6 +79,7 @@
         limits: EndpointLimits,
         get_limit_share: Callable[[EndpointRecord, float], float],
         publish_limit: Callable[[LimitState], None],
+        forward_pause: Callable[[EndpointRecord, float], None],
     ) -> None:
         self._zone = zone
         self._regions = regions
@@ -84,6 +89,7 @@
         self._limits = limits
         self._get_limit_share = get_limit_share
         self._publish_limit = publish_limit
+        self._forward_pause = forward_pause
         self._generation_tokens: Counter[str] = Counter()
         self._pending_prefill_tokens: Counter[str] = Counter()
 
@@ -93,11 +99,7 @@
 
     def distance_between(self, zone: str, other: str) -> Distance:
         """Return the distance between two availability zones."""
-        if zone == other:
-            return Distance.SAME_ZONE
-        if self._regions.get(zone, zone) == self._regions.get(other, other):
-            return Distance.SAME_REGION
-        return Distance.OTHER_REGION
+        return zone_distance(zone, other, self._regions)
 
     def in_service_names(self, service: str) -> list[str]:
         """Return the names of the endpoints of `service` that are in service."""
@@ -141,6 +143,14 @@
         """Return the remaining time of the pause that `record` asked this node for."""
         return self._backoff.remaining_s(record.name, record.born_ms)
 
+    def record_pause(self, record: EndpointRecord, pause_s: float) -> None:
+        """Record that `record` wants no requests from this VM for `pause_s`."""
+        self._backoff.record_refusal(record.name, record.born_ms, pause_s)
+        _logger.info(
+            "endpoint asked for a pause",
+            extra={"endpoint": record.name, "pause_s": pause_s},
+        )
+
     def record_send(self, record: EndpointRecord) -> None:
         """Count a request that is sent to `record` towards its limit."""
         self._limits.record_send(record.name)
@@ -195,13 +205,8 @@
             load = reply.load.running + reply.load.waiting
             self.loads.record_report(record.name, load)
         if reply.retry_after_s is not None:
-            self._backoff.record_refusal(
-                record.name, record.born_ms, reply.retry_after_s
-            )
-            _logger.info(
-                "endpoint asked for a pause",
-                extra={"endpoint": record.name, "pause_s": reply.retry_after_s},
-            )
+            self.record_pause(record, reply.retry_after_s)
+            self._forward_pause(record, reply.retry_after_s)
         limit = self._limits.observe(
             record.name, record.born_ms, reply.limit_per_s, sent_at
         )
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -12,15 +12,18 @@
 from sapphirehoist.clock import Clock, HybridClock
 from sapphirehoist.decisions import (
     CrashQuarantine,
+    Distance,
     EarliestStartPolicy,
     EndpointBackoff,
     EndpointLimits,
     EndpointLoads,
+    EndpointPaths,
     GenerationPlacement,
     PredictedPlacement,
     SharedRetryBudget,
     StreamOrigins,
     UrgentFirstBatching,
+    zone_distance,
 )
 from sapphirehoist.discovery import (
     EndpointDirectory,
@@ -46,6 +49,8 @@
 from sapphirehoist.gateway.region_read_sharing import RegionReaders
 from sapphirehoist.gateway.stage_scheduler import StageScheduler
 from sapphirehoist.gateway.stream_origin_sync import StreamOriginSync
+from sapphirehoist.gateway.tunnel_connector import TunnelConnector
+from sapphirehoist.gateway.tunnel_server import TunnelServer
 from sapphirehoist.http1 import (
     CallerServer,
     EndpointConnectionPool,
@@ -259,6 +264,7 @@
             self._stage_scheduler.run,
             self._prompt_broadcaster.run,
             self._stream_origin_sync.run,
+            self._tunnel_connector.run,
             self._run_periodic_maintenance,
         ):
             self._tasks.append(gevent.spawn(self._run_supervised, run))
@@ -320,9 +326,11 @@
         self.fleet.announce_gone()
 
     def _wait_for_callers(self, end_at: float) -> None:
-        """Wait until no request is being received or answered, at most to `end_at`."""
+        """Wait until no request is under way or relayed, at most to `end_at`."""
         clock = self._dependencies.clock
-        while clock.monotonic() < end_at and self._caller_server.active_count:
+        while clock.monotonic() < end_at and (
+            self._caller_server.active_count or self._tunnel_server.open_count
+        ):
             clock.sleep(_DRAIN_POLL_INTERVAL_S)
 
     def kill(self) -> None:
@@ -438,6 +446,18 @@
         self._limit_sync = EndpointLimitSync(
             limits, self.endpoint_directory, self.fleet, self._peer_bus
         )
+        paths = EndpointPaths()
+        self._tunnel_connector = TunnelConnector(
+            dependencies.endpoint_connector,
+            paths,
+            self.endpoint_directory,
+            self.fleet,
+            self._peer_bus,
+            self._zone_distance,
+            clock,
+            dependencies.random,
+            metrics,
+        )
         endpoints = EndpointCandidates(
             settings.zone,
             settings.regions,
@@ -447,9 +467,21 @@
             limits,
             self._limit_share,
             self._limit_sync.publish,
+            self._tunnel_connector.forward_pause,
         )
         self._endpoint_connections = EndpointConnectionPool(
-            dependencies.endpoint_connector, clock, metrics
+            self._tunnel_connector, clock, metrics
+        )
+        self._tunnel_connector.on_path_lost = self._handle_lost_path
+        self._endpoint_loads = endpoints.loads
+        self._tunnel_server = TunnelServer(
+            dependencies.endpoint_connector,
+            paths,
+            endpoints,
+            self.endpoint_directory,
+            self._peer_bus,
+            settings.cores,
+            metrics,
         )
         retry_budget = self._retry_budget = SharedRetryBudget(
             settings.repeat_ratio,
@@ -541,6 +573,14 @@
             self.metrics,
         )
 
+    def _zone_distance(self, zone: str, other: str) -> Distance:
+        return zone_distance(zone, other, self.settings.regions)
+
+    def _handle_lost_path(self, endpoint: EndpointRecord) -> None:
+        """Use no old connections to `endpoint`, and do not blame it for failures."""
+        self._endpoint_connections.close_idle(endpoint.address)
+        self._endpoint_loads.forgive_failures(endpoint.name)
+
     def _limit_share(self, record: EndpointRecord, limit_per_s: float) -> float:
         """Return the fraction of an endpoint's limit that this node may use.
 
--- a/libs/gateway/sapphirehoist/gateway/tests/test_stage_queue.py
+++ b/libs/gateway/sapphirehoist/gateway/tests/test_stage_queue.py
@@ -53,6 +53,7 @@
         EndpointLimits(clock),
         lambda record, per_s: 1.0,
         lambda state: None,
+        lambda record, pause_s: None,
     )
     # No call is sent, so connections and codec are not used.
     unused: Any = None
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -406,6 +406,8 @@
         if isinstance(sock, NotSent):
             return sock
         self._metrics.count("endpoint_connections_total")
+        if not self._connector.is_reusable(sock):
+            return EndpointConnection(address, sock, EndpointConnection.close)
         return EndpointConnection(address, sock, self._idle_callback(address))
 
     def _idle_callback(self, address: str) -> Callable[[EndpointConnection], None]:
--- a/libs/http1/sapphirehoist/http1/connector.py
+++ b/libs/http1/sapphirehoist/http1/connector.py
@@ -45,6 +45,10 @@
     def connect(self, address: str) -> EndpointSocket | NotSent:
         """Return a socket that is connected to ``IP:PORT``, or why there is none."""
 
+    def is_reusable(self, sock: EndpointSocket) -> bool:
+        """Return whether a connection may serve several requests."""
+        return True
+
 
 class TcpConnector(EndpointConnector):
     """Opens TCP connections from this VM."""
--- a/libs/peers/sapphirehoist/peers/__init__.py
+++ b/libs/peers/sapphirehoist/peers/__init__.py
@@ -7,6 +7,7 @@
 from sapphirehoist.peers.bus import NoReply, PeerBus
 from sapphirehoist.peers.memory import MemoryNetwork, MemoryTransport
 from sapphirehoist.peers.message import Envelope, PeerMessage
+from sapphirehoist.peers.stream import IncomingStream, OpenedStream
 from sapphirehoist.peers.tcp import TcpTransport
 from sapphirehoist.peers.transport import PeerTransport, Receiver
 
@@ -16,9 +17,11 @@
 __all__ = [
     "CurveKeys",
     "Envelope",
+    "IncomingStream",
     "MemoryNetwork",
     "MemoryTransport",
     "NoReply",
+    "OpenedStream",
     "PeerBus",
     "PeerMessage",
     "PeerTransport",
--- a/libs/peers/sapphirehoist/peers/bus.py
+++ b/libs/peers/sapphirehoist/peers/bus.py
@@ -7,12 +7,14 @@
 from typing import TypeVar
 
 import gevent
+from gevent import socket
 from gevent.event import AsyncResult
 
 from sapphirehoist.clock import Clock, HybridClock
 from sapphirehoist.messages import MalformedMessage, decode_msgpack, encode_msgpack
 from sapphirehoist.observability import Metrics
 from sapphirehoist.peers.message import Envelope, PeerMessage
+from sapphirehoist.peers.stream import IncomingStream, OpenedStream, receive_frame
 from sapphirehoist.peers.transport import PeerTransport, Receiver
 
 M = TypeVar("M", bound=PeerMessage)
@@ -32,10 +34,17 @@
     handler: Callable[[str, PeerMessage], PeerMessage | None]
 
 
+@dataclass(frozen=True, slots=True)
+class _StreamSubscription:
+    message_type: type[PeerMessage]
+    handler: Callable[[str, PeerMessage, IncomingStream], None]
+
+
 class PeerBus(Receiver):
     """Sends and receives typed messages, and counts the bytes of each kind.
 
-    A request waits for a reply; a notification is a one-way message.
+    A request waits for a reply; a notification is a one-way message. A stream begins
+    with a request and its reply, and goes on with bytes of any meaning.
 
     Parameters
     ----------
@@ -57,6 +66,7 @@
         "_last_call_id",
         "_metrics",
         "_pending_replies",
+        "_stream_subscriptions",
         "_subscriptions",
         "_transport",
         "_vm",
@@ -76,6 +86,7 @@
         self._hybrid_clock = hybrid_clock
         self._metrics = metrics
         self._subscriptions: dict[str, _Subscription] = {}
+        self._stream_subscriptions: dict[str, _StreamSubscription] = {}
         self._pending_replies: dict[int, AsyncResult] = {}
         self._last_call_id = 0
 
@@ -102,6 +113,16 @@
         subscription = _Subscription(message_type, handler)  # type: ignore[arg-type]
         self._subscriptions[message_type.KIND] = subscription
 
+    def subscribe_streams(
+        self, message_type: type[M], handler: Callable[[str, M, IncomingStream], None]
+    ) -> None:
+        """Call `handler(sender, message, stream)` for streams of `message_type`.
+
+        The handler replies, and the stream is closed when it returns.
+        """
+        subscription = _StreamSubscription(message_type, handler)  # type: ignore[arg-type]
+        self._stream_subscriptions[message_type.KIND] = subscription
+
     def notify(self, address: str, message: PeerMessage) -> bool:
         """Send a notification; return False if the transport dropped it at once."""
         return self._send(address, message, call_id=0)
@@ -138,6 +159,54 @@
             return NoReply(f"{message.KIND}: {address}: {reply.detail}")
         return reply
 
+    def open_stream(
+        self, address: str, message: PeerMessage, reply_type: type[R], timeout_s: float
+    ) -> OpenedStream[R] | NoReply:
+        """Open a stream, and wait up to `timeout_s` for a reply of `reply_type`.
+
+        The bytes that follow the reply are received from the connection in the result.
+        """
+        sock = None
+        reply: R | MalformedMessage | None = None
+        try:
+            with gevent.Timeout(timeout_s, False):
+                envelope = self._encode_envelope(message, call_id=0)
+                sock = self._transport.open_stream(address, envelope)
+                payload = receive_frame(sock) if sock is not None else None
+                if payload is not None:
+                    reply = self._decode_stream_reply(payload, reply_type)
+            if sock is None or reply is None or isinstance(reply, MalformedMessage):
+                return NoReply(f"{message.KIND}: {address}: no stream")
+            opened, sock = OpenedStream(reply, sock), None
+            return opened
+        finally:
+            if sock is not None:
+                sock.close()
+
+    def receive_stream(self, payload: bytes, sock: socket.socket) -> None:
+        """Decode the request that opens a stream and call its handler."""
+        envelope = self._decode_envelope(payload)
+        if envelope is None:
+            return
+        subscription = self._stream_subscriptions.get(envelope.kind)
+        if subscription is None:
+            self._metrics.count("peer_malformed_total", kind="unknown")
+            return
+        message = decode_msgpack(envelope.body, subscription.message_type)
+        if isinstance(message, MalformedMessage):
+            self._metrics.count("peer_malformed_total", kind=envelope.kind)
+            return
+        stream = IncomingStream(sock, lambda reply: self._encode_envelope(reply, 0))
+        subscription.handler(envelope.sender, message, stream)
+
+    def _decode_stream_reply(
+        self, payload: bytes, reply_type: type[R]
+    ) -> R | MalformedMessage | None:
+        envelope = self._decode_envelope(payload)
+        if envelope is None:
+            return None
+        return decode_msgpack(envelope.body, reply_type)
+
     def receive_request(
         self, payload: bytes, send_reply: Callable[[bytes], None]
     ) -> None:
--- a/libs/peers/sapphirehoist/peers/tcp.py
+++ b/libs/peers/sapphirehoist/peers/tcp.py
@@ -1,8 +1,9 @@
 """Plain TCP transport: one outgoing connection per peer, length-prefixed frames.
 
-Replies are sent on the connection of their request. There is no encryption, so the
-network between the VMs has to be private. Messages that cannot be delivered soon are
-dropped, so that a peer that was unreachable does not receive outdated messages.
+Replies are sent on the connection of their request. A byte stream has a connection of
+its own, which begins with a mark that is no valid length. There is no encryption, so
+the network between the VMs has to be private. Messages that cannot be delivered soon
+are dropped, so that a peer that was unreachable does not receive outdated messages.
 """
 
 from __future__ import annotations
@@ -14,12 +15,18 @@
 from gevent.queue import Full, Queue
 from gevent.server import StreamServer
 
+from sapphirehoist.peers.stream import (
+    LENGTH_PREFIX_BYTES,
+    MAX_MESSAGE_BYTES,
+    receive_exactly,
+    receive_frame,
+    send_frame,
+)
 from sapphirehoist.peers.transport import PeerTransport, Receiver
 from sapphirehoist.sockets import configure_tcp_socket
 
 _MAX_QUEUED_MESSAGES = 256
-_MAX_MESSAGE_BYTES = 8 * 1024 * 1024
-_LENGTH_PREFIX_BYTES = 4
+_STREAM_MARK = b"\xff" * LENGTH_PREFIX_BYTES
 _READ_CHUNK_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 1.0
 # Messages are dropped for this time after a failed connection.
@@ -76,6 +83,25 @@
             )
         return connection.send(payload)
 
+    def open_stream(self, address: str, payload: bytes) -> socket.socket | None:
+        """Open a byte stream to `address` that begins with `payload`."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        is_open = False
+        try:
+            configure_tcp_socket(sock)
+            sock.settimeout(_CONNECT_TIMEOUT_S)
+            sock.connect(_parse_address(address))
+            sock.settimeout(None)
+            sock.sendall(_STREAM_MARK)
+            send_frame(sock, payload)
+            is_open = True
+        except OSError:
+            return None
+        finally:
+            if not is_open:
+                sock.close()
+        return sock
+
     def disconnect(self, address: str) -> None:
         """Close the connection to `address`."""
         connection = self._outgoing.pop(address, None)
@@ -96,17 +122,35 @@
         self, sock: socket.socket, peer_address: tuple[str, int]
     ) -> None:
         """Deliver the requests of one incoming connection and write their replies."""
-        assert self._receiver is not None
         configure_tcp_socket(sock)
         self._incoming_sockets.add(sock)
+        try:
+            prefix = receive_exactly(sock, LENGTH_PREFIX_BYTES)
+            if prefix == _STREAM_MARK:
+                self._receive_stream(sock)
+            elif prefix is not None:
+                self._receive_messages(sock, prefix)
+        finally:
+            self._incoming_sockets.discard(sock)
+            sock.close()
+
+    def _receive_stream(self, sock: socket.socket) -> None:
+        assert self._receiver is not None
+        payload = receive_frame(sock)
+        if payload is not None:
+            self._receiver.receive_stream(payload, sock)
+
+    def _receive_messages(self, sock: socket.socket, first_bytes: bytes) -> None:
         replies: Queue = Queue(_MAX_QUEUED_MESSAGES)
         writer = gevent.spawn(_write_frames, sock, replies)
         try:
-            _read_frames(sock, lambda payload: self._receive_request(payload, replies))
+            _read_frames(
+                sock,
+                lambda payload: self._receive_request(payload, replies),
+                first_bytes,
+            )
         finally:
             writer.kill(block=False)
-            self._incoming_sockets.discard(sock)
-            sock.close()
 
     def _receive_request(self, payload: bytes, replies: Queue) -> None:
         assert self._receiver is not None
@@ -198,19 +242,22 @@
     """
     while True:
         payload = queue.get()
-        frames = [len(payload).to_bytes(_LENGTH_PREFIX_BYTES), payload]
+        frames = [len(payload).to_bytes(LENGTH_PREFIX_BYTES), payload]
         while not queue.empty():
             payload = queue.get_nowait()
-            frames += [len(payload).to_bytes(_LENGTH_PREFIX_BYTES), payload]
+            frames += [len(payload).to_bytes(LENGTH_PREFIX_BYTES), payload]
         sock.sendall(b"".join(frames))
 
 
-def _read_frames(sock: socket.socket, deliver: Callable[[bytes], None]) -> None:
+def _read_frames(
+    sock: socket.socket, deliver: Callable[[bytes], None], first_bytes: bytes = b""
+) -> None:
     """Deliver the payloads of complete frames until the connection ends.
 
-    Return early if a frame, including its prefix, exceeds `_MAX_MESSAGE_BYTES`.
+    Return early if a frame, including its prefix, exceeds `MAX_MESSAGE_BYTES`.
+    `first_bytes` of the first frame have been received already.
     """
-    buffer = b""
+    buffer = first_bytes
     while True:
         try:
             chunk = sock.recv(_READ_CHUNK_BYTES)
@@ -219,15 +266,15 @@
         if not chunk:
             return
         buffer += chunk
-        while len(buffer) >= _LENGTH_PREFIX_BYTES:
-            frame_end = _LENGTH_PREFIX_BYTES + int.from_bytes(
-                buffer[:_LENGTH_PREFIX_BYTES]
+        while len(buffer) >= LENGTH_PREFIX_BYTES:
+            frame_end = LENGTH_PREFIX_BYTES + int.from_bytes(
+                buffer[:LENGTH_PREFIX_BYTES]
             )
-            if frame_end > _MAX_MESSAGE_BYTES:
+            if frame_end > MAX_MESSAGE_BYTES:
                 return
             if len(buffer) < frame_end:
                 break
-            deliver(buffer[_LENGTH_PREFIX_BYTES:frame_end])
+            deliver(buffer[LENGTH_PREFIX_BYTES:frame_end])
             buffer = buffer[frame_end:]
 
 
