Keep the origins of streams in the store while software versions are mixed

Cause: origins, and the versions that had served, were in the memory of nodes only. The new nodes saw one version in the table and inferred that it had begun every stream. Class of fault: state that outlives its holders' common failure is kept with these holders, and its absence is taken for evidence. Fix: StreamOriginJournal. One node per service writes origins in batches, and the versions, while several serve; nodes read both when they start, and infer nothing before. Nothing is written while one version serves.

--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -48,6 +48,7 @@
 from sapphirehoist.gateway.prompt_broadcast import PromptBroadcaster
 from sapphirehoist.gateway.region_read_sharing import RegionReaders
 from sapphirehoist.gateway.stage_scheduler import StageScheduler
+from sapphirehoist.gateway.stream_origin_journal import StreamOriginJournal
 from sapphirehoist.gateway.stream_origin_sync import StreamOriginSync
 from sapphirehoist.gateway.tunnel_connector import TunnelConnector
 from sapphirehoist.gateway.tunnel_server import TunnelServer
@@ -234,6 +235,8 @@
         Processes callers' requests.
     crash_quarantine : CrashQuarantineSync
         Prompt parts under which engines crash.
+    endpoint_connector : TunnelConnector
+        Opens connections to endpoints, where necessary through other nodes.
     """
 
     def __init__(
@@ -264,12 +267,17 @@
             self._stage_scheduler.run,
             self._prompt_broadcaster.run,
             self._stream_origin_sync.run,
-            self._tunnel_connector.run,
+            self._stream_origin_journal.run,
+            self.endpoint_connector.run,
             self._run_periodic_maintenance,
         ):
             self._tasks.append(gevent.spawn(self._run_supervised, run))
         self._caller_server.start()
 
+    def endpoint_pause_s(self, endpoint: EndpointRecord) -> float:
+        """Return for how long `endpoint` wants no requests from this VM."""
+        return self._endpoints.pause_s(endpoint)
+
     def is_ready(self) -> bool:
         """Return whether this node accepts new callers."""
         return self._initial_state_sync.is_complete and not self.is_stopping
@@ -447,7 +455,7 @@
             limits, self.endpoint_directory, self.fleet, self._peer_bus
         )
         paths = EndpointPaths()
-        self._tunnel_connector = TunnelConnector(
+        self.endpoint_connector = TunnelConnector(
             dependencies.endpoint_connector,
             paths,
             self.endpoint_directory,
@@ -467,13 +475,13 @@
             limits,
             self._limit_share,
             self._limit_sync.publish,
-            self._tunnel_connector.forward_pause,
+            self.endpoint_connector.forward_pause,
         )
         self._endpoint_connections = EndpointConnectionPool(
-            self._tunnel_connector, clock, metrics
+            self.endpoint_connector, clock, metrics
         )
-        self._tunnel_connector.on_path_lost = self._handle_lost_path
-        self._endpoint_loads = endpoints.loads
+        self.endpoint_connector.on_path_lost = self._handle_lost_path
+        self._endpoints = endpoints
         self._tunnel_server = TunnelServer(
             dependencies.endpoint_connector,
             paths,
@@ -552,8 +560,17 @@
             ),
             self.metrics,
         )
+        origins = StreamOrigins(clock)
+        self._stream_origin_journal = StreamOriginJournal(
+            self._dependencies.table_service,
+            origins,
+            self.fleet,
+            self._peer_bus,
+            clock,
+        )
         self._stream_origin_sync = StreamOriginSync(
-            StreamOrigins(clock),
+            origins,
+            self._stream_origin_journal,
             self.endpoint_directory,
             self.fleet,
             self._peer_bus,
@@ -579,7 +596,7 @@
     def _handle_lost_path(self, endpoint: EndpointRecord) -> None:
         """Use no old connections to `endpoint`, and do not blame it for failures."""
         self._endpoint_connections.close_idle(endpoint.address)
-        self._endpoint_loads.forgive_failures(endpoint.name)
+        self._endpoints.loads.forgive_failures(endpoint.name)
 
     def _limit_share(self, record: EndpointRecord, limit_per_s: float) -> float:
         """Return the fraction of an endpoint's limit that this node may use.
--- a/libs/gateway/sapphirehoist/gateway/stream_origin_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/stream_origin_sync.py
@@ -2,7 +2,8 @@
 
 While one software version serves, every node knows the origin of each stream, and
 nothing is sent. Otherwise a few nodes hold the origin of each stream: the one that
-relays its first event, and others that are chosen by a hash of its request id.
+relays its first event, and others that are chosen by a hash of its request id. The
+store has it, too, in case all nodes are killed at once.
 """
 
 from __future__ import annotations
@@ -22,6 +23,10 @@
     stream_holders,
 )
 from sapphirehoist.discovery import EndpointDirectory, EndpointRecord
+from sapphirehoist.gateway.stream_origin_journal import (
+    StreamOriginEntry,
+    StreamOriginJournal,
+)
 from sapphirehoist.membership import Fleet, Member
 from sapphirehoist.peers import NoReply, PeerBus, PeerMessage
 
@@ -36,17 +41,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class StreamOriginEntry(PeerMessage, frozen=True, array_like=True):
-    """One stream; see `TrackedStream`."""
-
-    KIND: ClassVar[str] = "gateway.stream_origin"
-
-    request_id: str
-    service: str
-    software_version: str
-    remaining_s: float
-
-
 class StreamOriginsUpdate(PeerMessage, frozen=True, array_like=True):
     """Asks the receiver to hold the origins of streams."""
 
@@ -73,12 +67,15 @@
         The stream; empty if the sender does not know it.
     recent_versions : list of str
         Software versions that the sender has lately seen at the service.
+    knows_past : bool
+        Whether these include the versions of before the sender started.
     """
 
     KIND: ClassVar[str] = "gateway.stream_origin_reply"
 
     origins: list[StreamOriginEntry]
     recent_versions: list[str]
+    knows_past: bool = True
 
 
 class StreamOriginSync:
@@ -88,6 +85,8 @@
     ----------
     origins : StreamOrigins
         Origins known to this node.
+    journal : StreamOriginJournal
+        Origins in the store.
     directory : EndpointDirectory
         Knows which software versions serve.
     fleet : Fleet
@@ -103,6 +102,7 @@
         "_clock",
         "_directory",
         "_fleet",
+        "_journal",
         "_mixed_services",
         "_origins",
         "_unsent",
@@ -111,12 +111,14 @@
     def __init__(
         self,
         origins: StreamOrigins,
+        journal: StreamOriginJournal,
         directory: EndpointDirectory,
         fleet: Fleet,
         bus: PeerBus,
         clock: Clock,
     ) -> None:
         self._origins = origins
+        self._journal = journal
         self._directory = directory
         self._fleet = fleet
         self._bus = bus
@@ -159,15 +161,17 @@
         origin = self._origins.get(request_id)
         if origin is not None:
             return origin
-        versions = set(self._directory.recent_versions(service))
+        versions = self._known_versions(service)
+        knows_past = self._journal.is_loaded
         replies = self._ask_holders(StreamOriginRequest(request_id, service))
         for reply in replies:
             if reply.origins:
-                stream = _to_stream(reply.origins[0])
+                stream = reply.origins[0].to_stream()
                 self._origins.record(stream)
                 return stream.origin
             versions.update(reply.recent_versions)
-        if not replies and self._fleet.other_members():
+            knows_past |= reply.knows_past
+        if not knows_past or (not replies and self._fleet.other_members()):
             # A node that reaches no other one may have missed versions, too.
             return None
         return infer_origin(service, versions)
@@ -180,6 +184,7 @@
             if self._unsent:
                 streams, self._unsent = self._unsent, []
                 self._send(streams)
+                self._journal.add(streams)
 
     def remove_expired(self) -> None:
         """Discard the streams that no caller takes up any more."""
@@ -187,28 +192,30 @@
 
     def _update_mixed_services(self) -> None:
         """Notice which services have several versions; send their present streams."""
-        mixed_services = {
-            service
-            for service in self._directory.services()
-            if len(self._directory.recent_versions(service)) > 1
-        }
-        for service in mixed_services - self._mixed_services:
+        services = {*self._directory.services(), *self._journal.services()}
+        versions = {service: self._known_versions(service) for service in services}
+        mixed_versions = {s: sorted(v) for s, v in versions.items() if len(v) > 1}
+        self._journal.set_versions(mixed_versions)
+        for service in mixed_versions.keys() - self._mixed_services:
             self._unsent.extend(self._origins.streams_of(service))
             _logger.info(
                 "several software versions serve",
-                extra={
-                    "service": service,
-                    "versions": sorted(self._directory.recent_versions(service)),
-                },
+                extra={"service": service, "versions": mixed_versions[service]},
             )
-        self._mixed_services = mixed_services
+        self._mixed_services = set(mixed_versions)
+
+    def _known_versions(self, service: str) -> set[str]:
+        recent = self._directory.recent_versions(service)
+        return recent | self._journal.recalled_versions(service)
 
     def _send(self, streams: Iterable[TrackedStream]) -> None:
         members = {member.vm: member for member in self._fleet.other_members()}
         by_holder: dict[str, list[StreamOriginEntry]] = {}
         for stream in streams:
             for vm in stream_holders(stream.request_id, members, _HOLDER_COUNT):
-                by_holder.setdefault(vm, []).append(_to_entry(stream))
+                by_holder.setdefault(vm, []).append(
+                    StreamOriginEntry.from_stream(stream)
+                )
         for vm, entries in by_holder.items():
             self._bus.notify(members[vm].peer_address, StreamOriginsUpdate(entries))
 
@@ -235,28 +242,16 @@
 
     def _handle_update(self, sender: str, update: StreamOriginsUpdate) -> None:
         for entry in update.entries:
-            self._origins.record(_to_stream(entry))
+            self._origins.record(entry.to_stream())
 
     def _handle_request(
         self, sender: str, request: StreamOriginRequest
     ) -> StreamOriginReply:
-        versions = sorted(self._directory.recent_versions(request.service))
+        versions = sorted(self._known_versions(request.service))
+        knows_past = self._journal.is_loaded
         origin = self._origins.get(request.request_id)
         if origin is None:
-            return StreamOriginReply([], versions)
+            return StreamOriginReply([], versions, knows_past)
         stream = TrackedStream(request.request_id, origin, _EXPIRY_MARGIN_S)
-        return StreamOriginReply([_to_entry(stream)], versions)
-
-
-def _to_entry(stream: TrackedStream) -> StreamOriginEntry:
-    return StreamOriginEntry(
-        stream.request_id,
-        stream.origin.service,
-        stream.origin.software_version,
-        stream.remaining_s,
-    )
-
-
-def _to_stream(entry: StreamOriginEntry) -> TrackedStream:
-    origin = StreamOrigin(entry.service, entry.software_version)
-    return TrackedStream(entry.request_id, origin, entry.remaining_s)
+        entry = StreamOriginEntry.from_stream(stream)
+        return StreamOriginReply([entry], versions, knows_past)
