--- a/libs/decisions/sapphirehoist/decisions/tunnel_helpers.py
+++ b/libs/decisions/sapphirehoist/decisions/tunnel_helpers.py
@@ -9,15 +9,17 @@
 from collections import Counter
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
+from math import inf
 from random import Random
+from statistics import fmean
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions.placement import Distance
 
 # A nearer VM is passed over while it has more open tunnels per core than this, as long
 # as another one has fewer.
-_BUSY_TUNNELS_PER_CORE = 8.0
-_REPORT_RETENTION_S = 1.0
+_BUSY_TUNNELS_PER_CORE = 4.0
+_REPORT_RETENTION_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,8 +44,8 @@
 class TunnelHelpers:
     """Chooses helpers by distance and room.
 
-    The load of a helper is the number of tunnels that it stated last, or of those that
-    this VM has there if they are more, per core.
+    The load of a helper is the number of tunnels per core that it stated last, or of
+    those that this VM has there if they are more.
 
     Parameters
     ----------
@@ -106,16 +108,36 @@
             for helper in helpers
             if helper.vm not in exclude and now >= self._held_until.get(helper.vm, 0.0)
         ]
-        idle = [h for h in usable if self._load(h) < _BUSY_TUNNELS_PER_CORE]
+        loads = self._loads(usable)
+        idle = [h for h in usable if loads[h.vm] < _BUSY_TUNNELS_PER_CORE]
         if not idle:
-            return min(usable, key=self._load, default=None)
-        nearest = min(helper.distance.value for helper in idle)
-        near = [helper for helper in idle if helper.distance.value == nearest]
-        return min(self._random.sample(near, min(2, len(near))), key=self._load)
-
-    def _load(self, helper: TunnelHelper) -> float:
-        count, stated_at = self._reports.get(helper.vm, (0, 0.0))
-        if self._clock.monotonic() - stated_at > _REPORT_RETENTION_S:
-            count = 0
-        tunnels = max(count, self._own_tunnels[helper.vm])
-        return tunnels / (helper.cores or 1.0)
+            return min(usable, key=lambda h: loads[h.vm], default=None)
+        nearest = min(helper.distance for helper in idle)
+        near = [helper for helper in idle if helper.distance == nearest]
+        pair = self._random.sample(near, min(2, len(near)))
+        return min(pair, key=lambda h: loads[h.vm])
+
+    def _loads(self, helpers: Sequence[TunnelHelper]) -> dict[str, float]:
+        """Return the tunnels per core of each VM.
+
+        A VM that has stated nothing lately has as many as the others at its distance.
+        """
+        oldest = self._clock.monotonic() - _REPORT_RETENTION_S
+        known: dict[str, float] = {}
+        known_by_distance: dict[Distance, list[float]] = {}
+        for helper in helpers:
+            count, stated_at = self._reports.get(helper.vm, (0, -inf))
+            if stated_at > oldest:
+                known[helper.vm] = count / (helper.cores or 1.0)
+                known_by_distance.setdefault(helper.distance, []).append(
+                    known[helper.vm]
+                )
+        return {
+            helper.vm: max(
+                known.get(
+                    helper.vm, fmean(known_by_distance.get(helper.distance, [0.0]))
+                ),
+                self._own_tunnels[helper.vm] / (helper.cores or 1.0),
+            )
+            for helper in helpers
+        }
