--- a/libs/gateway/sapphirehoist/gateway/path_check.py
+++ b/libs/gateway/sapphirehoist/gateway/path_check.py
@@ -128,16 +128,17 @@
 
     def record_down(self, endpoint: str) -> None:
         """Record that an endpoint has crashed, so that nothing is compared with it."""
-        self._down_since[endpoint] = self._clock.monotonic()
+        now = self._clock.monotonic()
+        for name, down_since in list(self._down_since.items()):
+            if now - down_since >= _DOWN_RETENTION_S:
+                del self._down_since[name]
+        self._down_since[endpoint] = now
 
     def _is_down(self, endpoint: str) -> bool:
         down_since = self._down_since.get(endpoint)
         if down_since is None:
             return False
-        if self._clock.monotonic() - down_since < _DOWN_RETENTION_S:
-            return True
-        del self._down_since[endpoint]
-        return False
+        return self._clock.monotonic() - down_since < _DOWN_RETENTION_S
 
     def _observe(self, endpoint: EndpointRecord) -> PathObservation:
         own_call = gevent.spawn(self._can_connect, endpoint)
--- a/libs/gateway/sapphirehoist/gateway/tunnel_connector.py
+++ b/libs/gateway/sapphirehoist/gateway/tunnel_connector.py
@@ -52,6 +52,7 @@
 # An endpoint that no VM reached is not tried through other VMs for this long. It is not
 # tried at all if it did not refuse the connection but timed out.
 _UNREACHED_HOLD_S = 0.5
+_UNREACHED_RETENTION_S = 60.0
 _PROBE_INTERVAL_S = 0.5
 # Time for which a helper is told what the endpoint asks for.
 _HELPER_RETENTION_S = 5.0
@@ -69,7 +70,7 @@
     paths : EndpointPaths
         Paths of this VM; updated.
     directory : EndpointDirectory
-        Known endpoints; connections to other addresses are opened from this VM only.
+        Known endpoints; other addresses are reached from this VM only.
     fleet : Fleet
         Nodes that may help.
     bus : PeerBus
@@ -137,12 +138,11 @@
 
     def connect(self, address: str) -> EndpointSocket | NotSent:
         """Return a connection to ``IP:PORT``, or why there is none."""
-        endpoint = self._find_endpoint(address)
-        if endpoint is None or not self._fleet.other_members():
+        if not self._fleet.other_members():
             return self._connect_directly(address)
         if self._paths.is_lost(address):
-            return self._open_tunnel(endpoint)
-        return self._connect_either_way(endpoint)
+            return self._open_tunnel(address)
+        return self._connect_either_way(address)
 
     def is_reusable(self, sock: EndpointSocket) -> bool:
         """Return whether a connection may serve several requests.
@@ -196,9 +196,9 @@
             self._silent_until.pop(address, None)
         return sock
 
-    def _connect_either_way(self, endpoint: EndpointRecord) -> EndpointSocket | NotSent:
+    def _connect_either_way(self, address: str) -> EndpointSocket | NotSent:
         """Return the first connection, from this VM or through another one."""
-        address, started_at = endpoint.address, self._clock.monotonic()
+        started_at = self._clock.monotonic()
         if started_at < self._silent_until.get(address, 0.0):
             return NotSent(f"{address}: no VM reached it lately")
         if address in self._silent_until:
@@ -211,7 +211,7 @@
             calls[0].join(_TUNNEL_DELAY_S)
             is_connected = calls[0].ready() and not isinstance(calls[0].get(), NotSent)
             if may_tunnel and not is_connected:
-                calls.append(gevent.spawn(self._open_tunnel, endpoint))
+                calls.append(gevent.spawn(self._open_tunnel, address))
             for call in gevent.iwait(calls):
                 if not isinstance(call.get(), NotSent):
                     chosen = call
@@ -224,18 +224,25 @@
             self._unreached_until[address] = self._clock.monotonic() + _UNREACHED_HOLD_S
             return calls[0].get()
         if chosen is not calls[0]:
-            self._record_lost(endpoint)
+            self._record_lost(address)
         return chosen.get()
 
     def _record_unreached(self, address: str, started_at: float) -> None:
         now = self._clock.monotonic()
+        for until in (self._unreached_until, self._silent_until):
+            for known, until_at in list(until.items()):
+                if until_at < now - _UNREACHED_RETENTION_S:
+                    del until[known]
         self._unreached_until[address] = now + _UNREACHED_HOLD_S
         if now - started_at > _TUNNEL_DELAY_S:
             self._silent_until[address] = now + _UNREACHED_HOLD_S
 
-    def _record_lost(self, endpoint: EndpointRecord) -> None:
+    def _record_lost(self, address: str) -> None:
+        endpoint = self._find_endpoint(address)
+        if endpoint is None:
+            return
         was_cut_off = self._paths.is_cut_off
-        self._paths.record_lost(endpoint.address)
+        self._paths.record_lost(address)
         self._has_lost_path.set()
         self._metrics.count("lost_paths_total")
         _logger.info(
@@ -248,8 +255,11 @@
         for lost in affected:
             self.on_path_lost(lost)
 
-    def _open_tunnel(self, endpoint: EndpointRecord) -> EndpointSocket | NotSent:
+    def _open_tunnel(self, address: str) -> EndpointSocket | NotSent:
         """Ask one VM after the other for a tunnel, and return the first one."""
+        endpoint = self._find_endpoint(address)
+        if endpoint is None:
+            return NotSent(f"{address}: no known endpoint")
         ends_at = self._clock.monotonic() + _TUNNEL_TIMEOUT_S
         replies: Queue = Queue()
         asked: Counter[str] = Counter()
@@ -278,7 +288,7 @@
             if pending:
                 gevent.spawn(_close_late_tunnels, replies, pending)
         if tunnel is None:
-            return NotSent(f"{endpoint.address}: no VM reaches it")
+            return NotSent(f"{address}: no VM reaches it")
         return tunnel
 
     def _choose_helper(self, asked: Counter[str], asked_vms: set[str]) -> Member | None:
@@ -304,6 +314,14 @@
         ) or self._helpers.choose(list(helpers.values()), asked_vms)
         return members[helper.vm] if helper is not None else None
 
+    def _record_helper(self, endpoint: EndpointRecord, vm: str) -> None:
+        """Record that `vm` has connected to an endpoint; discard what is too old."""
+        now = self._clock.monotonic()
+        for name, used in list(self._helpers_used.items()):
+            if max(used.values()) < now - _HELPER_RETENTION_S:
+                del self._helpers_used[name]
+        self._helpers_used.setdefault(endpoint.name, {})[vm] = now
+
     def _request_tunnel(
         self, member: Member, endpoint: EndpointRecord, replies: Queue
     ) -> None:
@@ -321,8 +339,7 @@
             self._helpers.record_report(vm, opened.reply.tunnel_count)
             self._metrics.count("tunnels_total", outcome=outcome.value)
             if outcome is TunnelOutcome.OPENED:
-                used = self._helpers_used.setdefault(endpoint.name, {})
-                used[vm] = self._clock.monotonic()
+                self._record_helper(endpoint, vm)
                 replies.put(TunnelSocket(opened.sock, lambda: self._helpers.end(vm)))
                 return
             opened.sock.close()
