Refuse at once while no VM reaches an endpoint whose connections time out

What callers would see: if all VMs are cut off and connections hang, each request waited 1.2 s an endpoint. The hold for such endpoints was written and described but never called (found when the diff was read). TunnelConnector calls it now: after a time-out everywhere an endpoint is left alone for 0.5 s, then one request at a time tries it.

--- a/libs/gateway/sapphirehoist/gateway/tunnel_connector.py
+++ b/libs/gateway/sapphirehoist/gateway/tunnel_connector.py
@@ -221,7 +221,7 @@
                 if call is not chosen:
                     call.rawlink(_close_result)
         if chosen is None:
-            self._unreached_until[address] = self._clock.monotonic() + _UNREACHED_HOLD_S
+            self._record_unreached(address, started_at)
             return calls[0].get()
         if chosen is not calls[0]:
             self._record_lost(address)
