--- a/review/lib/rig.py
+++ b/review/rig.py
@@ -23,7 +23,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 PASSED, BROKEN, NOT_RUN = 0, 1, 2
 _MAX_CASE_S = 110.0
 _SETTINGS = """
