--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -36,7 +36,7 @@
 )
 from sapphirehoist.testing import ManagedProcess, wait_until
 
-OLD_COMMIT = "310eee0"
+OLD_COMMIT = "5e9d783"
 ROOT = Path(__file__).parents[1]
 OLD, NEW = "old", "new"
 EVENT_COUNT = 5
