Deliver replies in memory only to the receiver that asked

Callers saw: nothing; the transport serves tests and embedding. Cause: replies were delivered by address. After a restart the new bus counts its calls from 1 again, so that a late reply to its predecessor matched a call of its own. Change: a reply is dropped if another receiver has taken the address. TCP and ZeroMQ return replies on the connection of the request, which ends with the process.

--- a/libs/peers/sapphirehoist/peers/memory.py
+++ b/libs/peers/sapphirehoist/peers/memory.py
@@ -101,14 +101,16 @@
 class MemoryTransport(PeerTransport):
     """Transport of one node on a `MemoryNetwork`."""
 
-    __slots__ = ("_address", "_network")
+    __slots__ = ("_address", "_network", "_receiver")
 
     def __init__(self, network: MemoryNetwork, address: str) -> None:
         self._network = network
         self._address = address
+        self._receiver: Receiver | None = None
 
     def start(self, receiver: Receiver) -> None:
         """Start delivering received messages to `receiver`."""
+        self._receiver = receiver
         self._network.attach(self._address, receiver)
 
     def send(self, address: str, payload: bytes) -> bool:
@@ -116,10 +118,13 @@
         self._network.bytes_sent += len(payload)
 
         def send_reply(reply: bytes) -> None:
+            def deliver_to(receiver: Receiver) -> None:
+                # Another receiver at this address may wait for an equal call id.
+                if receiver is self._receiver:
+                    receiver.receive_reply(reply)
+
             self._network.bytes_sent += len(reply)
-            self._network.deliver(
-                address, self._address, lambda receiver: receiver.receive_reply(reply)
-            )
+            self._network.deliver(address, self._address, deliver_to)
 
         return self._network.deliver(
             self._address,
--- a/libs/peers/sapphirehoist/peers/tests/test_bus.py
+++ b/libs/peers/sapphirehoist/peers/tests/test_bus.py
@@ -78,6 +78,36 @@
     assert metrics.total("peer_late_replies_total") == 5
 
 
+def test_reply_to_an_earlier_process_at_the_address_is_dropped() -> None:
+    """Guards against replies that a restarted process takes for those of its own calls,
+    since each process counts its calls from 1.
+    """
+    clock = ManualClock()
+    network = MemoryNetwork(clock)
+
+    def start_bus(vm: str, address: str) -> PeerBus:
+        transport = MemoryTransport(network, address)
+        bus = PeerBus(vm, transport, clock, HybridClock(clock), Metrics())
+        bus.subscribe(Question, answer_slowly)
+        bus.start()
+        return bus
+
+    def answer_slowly(sender: str, question: Question) -> Reply:
+        clock.sleep(1.0)
+        return Reply(question.number)
+
+    start_bus("vm-2", "b")
+    first = start_bus("vm-1", "a")
+    gevent.spawn(first.request, "b", Question(1), Reply, 5.0)
+    clock.advance(0.5)
+    first.close()
+    restarted = start_bus("vm-1", "a")
+    task = gevent.spawn(restarted.request, "b", Question(2), Reply, 5.0)
+    clock.advance(0.6)
+    clock.advance(0.6)
+    assert task.get(timeout=0) == Reply(2)
+
+
 def test_malformed_messages_are_counted() -> None:
     clock = ManualClock()
     network = MemoryNetwork(clock)
