Deliver stage results only to the process that asked for them

Cause: the owner of a stage endpoint sends results to a VM, and the VM matched them by a correlation id that each process counted from 1. The successor of a killed process waits under the same ids, and took the results of its predecessor. Evidence: handles that name their request. In the new test each wrong input belonged to a request from before the kill, and was complete; without a kill there were none, which rules out calls that the owner mixes up.

Change: correlation ids start at a random number, and results count only if they come from the owner and the endpoint that were asked. Log lines for results that are dropped on either side.

--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -693,6 +693,7 @@
             EarliestStartPolicy(),
             queue_dependencies,
             self._current_routes,
+            self._dependencies.random,
         )
 
     def _build_chooser(self, endpoints: EndpointCandidates) -> EndpointChooser:
--- a/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
@@ -10,7 +10,9 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 from itertools import count
+from random import Random
 
 import gevent
 from gevent.event import AsyncResult
@@ -60,10 +62,48 @@
 _MAX_GROUP_SPACE_FRACTION = 0.35
 # Applies only to a pool that is not configured.
 _MAX_GROUP_PIECES = 1_000
+# Correlation ids are signed 64-bit integers in messages.
+_CORRELATION_ID_BITS = 62
 
 _logger = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class _RemoteComputation:
+    """Pieces of one request that the owner of their endpoint schedules.
+
+    Attributes
+    ----------
+    record : EndpointRecord
+        Endpoint that computes the pieces.
+    owner : Member
+        Node that calls the endpoint.
+    pieces : sequence of Piece
+        The pieces, in the order of the results.
+    results : AsyncResult
+        Set to the `ComputedNotification`.
+    """
+
+    record: EndpointRecord
+    owner: Member
+    pieces: Sequence[Piece]
+    results: AsyncResult = field(default_factory=AsyncResult)
+
+    @property
+    def request_id(self) -> str:
+        """Return the id of the caller's request."""
+        return self.pieces[0].request.request_id
+
+    def is_answered_by(self, sender: str, notification: ComputedNotification) -> bool:
+        """Return whether `notification` is the answer of the owner of these pieces."""
+        return sender == self.owner.vm and notification.endpoint == self.record.name
+
+    def is_complete(self, notification: ComputedNotification) -> bool:
+        """Return whether `notification` has one result for each piece."""
+        counts = {len(notification.handles), len(notification.reasons)}
+        return counts == {len(self.pieces)}
+
+
 class StageScheduler:
     """Schedules pieces on this node's endpoint queues or on those of other owners.
 
@@ -81,6 +121,8 @@
         Shared by the endpoint queues.
     get_table : callable
         Returns the active configuration; None before the first one.
+    random : Random
+        Chooses the first correlation id, which no other process of this VM may use.
     """
 
     __slots__ = (
@@ -95,10 +137,9 @@
         "_get_table",
         "_owners",
         "_owners_revision",
-        "_pending_requests",
-        "_pending_results",
         "_queues",
         "_remote_backlogs",
+        "_remote_computations",
         "_result_releaser",
     )
 
@@ -110,6 +151,7 @@
         endpoint_policy: StageEndpointPolicy,
         dependencies: QueueDependencies,
         get_table: Callable[[], RouteTable | None],
+        random: Random,
     ) -> None:
         self._fleet = fleet
         self._bus = bus
@@ -127,10 +169,9 @@
         self._result_releaser = ResultReleaser(
             bus, directory, self._find_owner, self._queues.get, dependencies
         )
-        self._correlation_ids = count(1)
-        self._pending_results: dict[int, AsyncResult] = {}
-        # Endpoint, owner and request id of the pieces that other owners schedule.
-        self._pending_requests: dict[int, tuple[EndpointRecord, Member, str]] = {}
+        # Results for an earlier process of this VM may still arrive.
+        self._correlation_ids = count(random.getrandbits(_CORRELATION_ID_BITS))
+        self._remote_computations: dict[int, _RemoteComputation] = {}
         bus.subscribe(ComputeRequest, self._handle_compute_request)
         bus.subscribe(ComputedNotification, self._handle_computed)
         bus.subscribe(CancelNotification, self._handle_cancel)
@@ -299,10 +340,12 @@
         for queue in list(self._queues.values()):
             if queue.record.zone == zone:
                 queue.fail_all(REASON_ENDPOINT_LOST)
-        for record, owner, request_id in list(self._pending_requests.values()):
-            if record.zone == zone:
-                notification = CancelNotification(record.name, request_id)
-                self._bus.notify(owner.peer_address, notification)
+        for computation in list(self._remote_computations.values()):
+            if computation.record.zone == zone:
+                notification = CancelNotification(
+                    computation.record.name, computation.request_id
+                )
+                self._bus.notify(computation.owner.peer_address, notification)
 
     def release_result(self, endpoint: str, handle: str) -> None:
         """Schedule the release of a result."""
@@ -441,9 +484,8 @@
             first.is_committed,
             None if first.allowed_regions is None else sorted(first.allowed_regions),
         )
-        results_future = self._pending_results[correlation_id] = AsyncResult()
-        request_id = first.request.request_id
-        self._pending_requests[correlation_id] = (record, owner, request_id)
+        computation = _RemoteComputation(record, owner, pieces)
+        self._remote_computations[correlation_id] = computation
         try:
             accepted = self._bus.request(
                 owner.peer_address, request, ComputeAccepted, _ACCEPT_TIMEOUT_S
@@ -454,16 +496,13 @@
             self._remote_backlogs.record_report(
                 record.name, Backlog(accepted.wait_s_by_level), accepted.backoff_s
             )
-            notification = self._wait_for_results(
-                results_future, owner, first.expires_at
-            )
+            notification = self._wait_for_results(computation)
         finally:
-            del self._pending_results[correlation_id]
-            del self._pending_requests[correlation_id]
+            del self._remote_computations[correlation_id]
             self._remote_backlogs.remove_outstanding(
                 record.name, first.priority, len(pieces)
             )
-        if notification is None or len(notification.handles) != len(pieces):
+        if notification is None or not computation.is_complete(notification):
             self._handle_unresponsive_owner(owner, record, pieces, requested_at)
             return
         results = zip(pieces, notification.handles, notification.reasons, strict=True)
@@ -471,14 +510,15 @@
             piece.result.set(PieceComputed(handle) if handle else PieceFailed(reason))
 
     def _wait_for_results(
-        self, results_future: AsyncResult, owner: Member, expires_at: float
+        self, computation: _RemoteComputation
     ) -> ComputedNotification | None:
         """Wait for the results; return None on expiry or once the owner is absent."""
-        while not self._clock.wait(results_future, _OWNER_POLL_INTERVAL_S):
+        expires_at = computation.pieces[0].expires_at
+        while not self._clock.wait(computation.results, _OWNER_POLL_INTERVAL_S):
             is_expired = self._clock.monotonic() > expires_at
-            if is_expired or not self._fleet.is_present(owner.vm):
+            if is_expired or not self._fleet.is_present(computation.owner.vm):
                 return None
-        return results_future.get()
+        return computation.results.get()
 
     def _handle_unresponsive_owner(
         self,
@@ -537,16 +577,27 @@
         backlog = queue.backlog()
         accepted = ComputeAccepted(backlog.wait_s_by_level, queue.backoff_s())
         queue.submit(pieces)
-        gevent.spawn(self._send_results, sender, request, pieces, queue)
+        requester = self._find_member(sender)
+        gevent.spawn(self._send_results, sender, requester, request, pieces, queue)
         return accepted
 
+    def _find_member(self, vm: str) -> Member | None:
+        update = self._fleet.view.get(vm)
+        return update.member if update is not None else None
+
     def _send_results(
         self,
         sender: str,
+        requester: Member | None,
         request: ComputeRequest,
         pieces: list[Piece],
         queue: EndpointQueue,
     ) -> None:
+        """Send the results to the process that requested them, once they are there.
+
+        Its successor on the same VM may have a pending request with the same
+        correlation id: until 5e9d783, each process counted them from 1.
+        """
         results = [piece.result.get() for piece in pieces]
         handles = [
             result.handle if isinstance(result, PieceComputed) else ""
@@ -565,13 +616,26 @@
             backlog.wait_s_by_level,
             queue.backoff_s(),
         )
-        sender_state = self._fleet.view.get(sender)
-        if sender_state is None or sender_state.member is None:
+        receiver = self._find_member(sender)
+        is_replaced = (
+            requester is not None
+            and receiver is not None
+            and requester.incarnation != receiver.incarnation
+        )
+        if receiver is None or is_replaced:
+            _logger.info(
+                "requester of stage results has ended",
+                extra={
+                    "request_id": pieces[0].request.request_id if pieces else "",
+                    "requester": sender,
+                    "endpoint": request.endpoint,
+                },
+            )
             self._result_releaser.release_at_endpoint(
                 request.endpoint, [handle for handle in handles if handle]
             )
             return
-        self._bus.notify(sender_state.member.peer_address, notification)
+        self._bus.notify(receiver.peer_address, notification)
 
     def _handle_computed(self, sender: str, notification: ComputedNotification) -> None:
         self._remote_backlogs.record_report(
@@ -579,11 +643,15 @@
             Backlog(notification.wait_s_by_level),
             notification.backoff_s,
         )
-        results_future = self._pending_results.get(notification.correlation_id)
-        if results_future is not None:
-            results_future.set(notification)
+        computation = self._remote_computations.get(notification.correlation_id)
+        if computation is not None and computation.is_answered_by(sender, notification):
+            computation.results.set(notification)
             return
-        # The requester has stopped waiting, so the results will not be used.
+        # Nobody waits for these results, or they are those of other pieces.
+        _logger.info(
+            "stage results that nobody waits for",
+            extra={"owner": sender, "endpoint": notification.endpoint},
+        )
         for handle in filter(None, notification.handles):
             self.release_result(notification.endpoint, handle)
 
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -16,9 +16,11 @@
 import gevent
 import pytest
 import urllib3
+from gevent.lock import Semaphore
 
 from sapphirehoist.adapter.settings import SETTINGS_VARIABLE
 from sapphirehoist.adapter.tests.standins import (
+    PIECES,
     STAGES,
     EndpointStandIn,
     ListenPorts,
@@ -34,6 +36,8 @@
     stream,
     with_headers,
 )
+from sapphirehoist.decisions import rendezvous_score
+from sapphirehoist.http1 import CallerRequest, Exchange
 from sapphirehoist.testing import ManagedProcess, wait_until
 
 OLD_COMMIT = "5e9d783"
@@ -328,3 +332,70 @@
     assert next(served) > 100
     for gateway in fleet.gateways:
         assert not gateway.log_lines("background task failed; restarting it")
+
+
+class SlowPieces:
+    """Computes the pieces of one call at a time, each call in `call_s`."""
+
+    def __init__(self, call_s: float) -> None:
+        self._call_s = call_s
+        self._turn = Semaphore()
+
+    def __call__(
+        self, endpoint: EndpointStandIn, request: CallerRequest, ex: Exchange
+    ) -> None:
+        if request.head.path == "/stage-run":
+            with self._turn:
+                gevent.sleep(self._call_s)
+        compute_pieces(endpoint, request, ex)
+
+
+@pytest.mark.parametrize(("requester", "owner"), [(NEW, NEW), (NEW, OLD), (OLD, NEW)])
+def test_restarted_process_gets_no_results_of_its_earlier_requests(
+    fleet: MixedFleet, requester: str, owner: str
+) -> None:
+    """Guards against results that the owner of a stage endpoint computes for a process
+    that was killed, and that its successor takes for those of its own requests.
+    """
+    call_s, request_count, piece_count = 0.3, 16, PIECES["batch"]
+    pool = {"name": "slow", "pieces": PIECES | {"callMs": call_s * 1000}}
+    stages = [{"service": "slow", "after": [], "sizeBytes": 1000}]
+    sketch = route("sketch", "streaming", "model", timeoutMs=9000, stages=stages)
+    configuration = config(1, *ROUTES, sketch)
+    configuration["services"].append(pool)
+    fleet.store.put("op", "config", configuration)
+    fleet.start_all(requester, owner)
+    asking, owning = fleet.gateways
+    name = next(
+        f"slow-{n}"
+        for n in range(20)
+        if rendezvous_score(f"slow-{n}", owning.name)
+        > rendezvous_score(f"slow-{n}", asking.name)
+    )
+    fleet.add_endpoint(name, "slow", SlowPieces(call_s))
+    models = [e for e in fleet.endpoints if e.service == "model"]
+
+    def ask(request_id: str) -> int:
+        headers = caller_headers(request_id, 9.0) | {"X-Pieces": str(piece_count)}
+        url = f"http://{asking.ip}:{asking.ports.front}/sketch/x"
+        try:
+            return _pool.request("POST", url, headers=headers, timeout=10.0).status
+        except urllib3.exceptions.HTTPError:
+            return 0
+
+    wait_until(lambda: ask(f"first-{next(_ids)}") == 200, "the first request", WAIT_S)
+    before = [gevent.spawn(ask, f"before-{n}") for n in range(request_count)]
+    gevent.sleep(2 * call_s)
+    assert asking.process is not None
+    asking.process.kill()
+    fleet.start(asking, requester)
+    wait_until(asking.is_ready, "ready again", WAIT_S)
+    wait_until(lambda: asking.resolve() == owning.resolve(), "both known", WAIT_S)
+    after = [gevent.spawn(ask, f"after-{n}") for n in range(request_count)]
+    gevent.joinall([*before, *after])
+    for request in [r for model in models for r in model.requests]:
+        request_id = request.head.headers.get("X-Request-Id")
+        address = fleet.endpoints[-1].entry["address"]
+        expected = [f"{address}/{request_id}-0-{n}" for n in range(piece_count)]
+        assert request.head.headers.get("X-Inputs").split(",") == expected
+    assert any(call.get() == 200 for call in after)
