Schedule the pieces of a restarted owner again at once

Cause: the wait for results ended only once the owner's VM was absent. A process that is back before it is declared dead never is, and knows nothing of the pieces. Evidence: the test restarts an owner; the log of the waiting node shows waited_ms of the whole time left, and the owner's log no call for these requests. Change: the wait ends too when the owner is known under another incarnation.

--- a/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
@@ -512,14 +512,20 @@
     def _wait_for_results(
         self, computation: _RemoteComputation
     ) -> ComputedNotification | None:
-        """Wait for the results; return None on expiry or once the owner is absent."""
+        """Wait for the results; return None on expiry or once the owner has ended."""
         expires_at = computation.pieces[0].expires_at
         while not self._clock.wait(computation.results, _OWNER_POLL_INTERVAL_S):
             is_expired = self._clock.monotonic() > expires_at
-            if is_expired or not self._fleet.is_present(computation.owner.vm):
+            if is_expired or not self._is_running(computation.owner):
                 return None
         return computation.results.get()
 
+    def _is_running(self, member: Member) -> bool:
+        """Return whether `member` is present, and not as another incarnation."""
+        current = self._find_member(member.vm)
+        is_replaced = current is not None and current.incarnation != member.incarnation
+        return self._fleet.is_present(member.vm) and not is_replaced
+
     def _handle_unresponsive_owner(
         self,
         owner: Member,
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -350,6 +350,68 @@
         compute_pieces(endpoint, request, ex)
 
 
+class SlowStageFleet:
+    """Two VMs, and a slow stage endpoint that the second one calls for both."""
+
+    call_s = 0.3
+    piece_count = PIECES["batch"]
+    deadline_s = 9.0
+
+    def __init__(self, fleet: MixedFleet, requester: str, owner: str) -> None:
+        pool = {"name": "slow", "pieces": PIECES | {"callMs": self.call_s * 1000}}
+        stages = [{"service": "slow", "after": [], "sizeBytes": 1000}]
+        timeout_ms = int(self.deadline_s * 1000)
+        sketch = route(
+            "sketch", "streaming", "model", timeoutMs=timeout_ms, stages=stages
+        )
+        configuration = config(1, *ROUTES, sketch)
+        configuration["services"].append(pool)
+        fleet.store.put("op", "config", configuration)
+        fleet.start_all(requester, owner)
+        self._fleet = fleet
+        self.requester, self.owner = fleet.gateways
+        name = next(
+            f"slow-{n}"
+            for n in range(20)
+            if rendezvous_score(f"slow-{n}", self.owner.name)
+            > rendezvous_score(f"slow-{n}", self.requester.name)
+        )
+        self.endpoint = fleet.add_endpoint(name, "slow", SlowPieces(self.call_s))
+        # Until both VMs know the endpoint, the first one calls it.
+        wait_until(
+            lambda: self.ask("first") == 200 and self.owner.log_lines("stage call"),
+            "a call by the owner",
+            WAIT_S,
+        )
+
+    def ask(self, name: str) -> int:
+        """Send a request to the first VM; return the status, 0 without an answer."""
+        headers = caller_headers(f"{name}-{next(_ids)}", self.deadline_s)
+        headers["X-Pieces"] = str(self.piece_count)
+        url = f"http://{self.requester.ip}:{self.requester.ports.front}/sketch/x"
+        try:
+            response = _pool.request(
+                "POST", url, headers=headers, timeout=self.deadline_s + 1
+            )
+        except urllib3.exceptions.HTTPError:
+            return 0
+        return response.status
+
+    def ask_many(self, name: str, request_count: int) -> list[gevent.Greenlet]:
+        return [gevent.spawn(self.ask, name) for _ in range(request_count)]
+
+    def restart(self, gateway: Gateway) -> None:
+        """Kill a process and start it again."""
+        assert gateway.process is not None
+        gateway.process.kill()
+        self._fleet.start(gateway, gateway.build)
+        self._fleet.wait_until_serving()
+
+    def model_requests(self) -> list[CallerRequest]:
+        models = [e for e in self._fleet.endpoints if e.service == "model"]
+        return [request for model in models for request in model.requests]
+
+
 @pytest.mark.parametrize(("requester", "owner"), [(NEW, NEW), (NEW, OLD), (OLD, NEW)])
 def test_restarted_process_gets_no_results_of_its_earlier_requests(
     fleet: MixedFleet, requester: str, owner: str
@@ -357,45 +419,30 @@
     """Guards against results that the owner of a stage endpoint computes for a process
     that was killed, and that its successor takes for those of its own requests.
     """
-    call_s, request_count, piece_count = 0.3, 16, PIECES["batch"]
-    pool = {"name": "slow", "pieces": PIECES | {"callMs": call_s * 1000}}
-    stages = [{"service": "slow", "after": [], "sizeBytes": 1000}]
-    sketch = route("sketch", "streaming", "model", timeoutMs=9000, stages=stages)
-    configuration = config(1, *ROUTES, sketch)
-    configuration["services"].append(pool)
-    fleet.store.put("op", "config", configuration)
-    fleet.start_all(requester, owner)
-    asking, owning = fleet.gateways
-    name = next(
-        f"slow-{n}"
-        for n in range(20)
-        if rendezvous_score(f"slow-{n}", owning.name)
-        > rendezvous_score(f"slow-{n}", asking.name)
-    )
-    fleet.add_endpoint(name, "slow", SlowPieces(call_s))
-    models = [e for e in fleet.endpoints if e.service == "model"]
-
-    def ask(request_id: str) -> int:
-        headers = caller_headers(request_id, 9.0) | {"X-Pieces": str(piece_count)}
-        url = f"http://{asking.ip}:{asking.ports.front}/sketch/x"
-        try:
-            return _pool.request("POST", url, headers=headers, timeout=10.0).status
-        except urllib3.exceptions.HTTPError:
-            return 0
-
-    wait_until(lambda: ask(f"first-{next(_ids)}") == 200, "the first request", WAIT_S)
-    before = [gevent.spawn(ask, f"before-{n}") for n in range(request_count)]
-    gevent.sleep(2 * call_s)
-    assert asking.process is not None
-    asking.process.kill()
-    fleet.start(asking, requester)
-    wait_until(asking.is_ready, "ready again", WAIT_S)
-    wait_until(lambda: asking.resolve() == owning.resolve(), "both known", WAIT_S)
-    after = [gevent.spawn(ask, f"after-{n}") for n in range(request_count)]
+    slow = SlowStageFleet(fleet, requester, owner)
+    before = slow.ask_many("before", 16)
+    gevent.sleep(2 * slow.call_s)
+    slow.restart(slow.requester)
+    after = slow.ask_many("after", 16)
     gevent.joinall([*before, *after])
-    for request in [r for model in models for r in model.requests]:
+    address = slow.endpoint.entry["address"]
+    for request in slow.model_requests():
         request_id = request.head.headers.get("X-Request-Id")
-        address = fleet.endpoints[-1].entry["address"]
-        expected = [f"{address}/{request_id}-0-{n}" for n in range(piece_count)]
+        expected = [f"{address}/{request_id}-0-{n}" for n in range(slow.piece_count)]
         assert request.head.headers.get("X-Inputs").split(",") == expected
     assert any(call.get() == 200 for call in after)
+
+
+@pytest.mark.parametrize("owner", [NEW, OLD])
+def test_pieces_of_a_restarted_owner_are_scheduled_again(
+    fleet: MixedFleet, owner: str
+) -> None:
+    """Guards against requests that wait until their deadline for a process that was
+    killed and is back before it is declared dead.
+    """
+    slow = SlowStageFleet(fleet, NEW, owner)
+    calls = slow.ask_many("before", 6)
+    gevent.sleep(2 * slow.call_s)
+    slow.restart(slow.owner)
+    gevent.joinall(calls)
+    assert [call.get() for call in calls] == [200] * 6
