Answer each request before a planned stop ends the process

Cause: the end of the process was no time limit of the work in it. Requests waited and were admitted by the caller's deadline, and the stop returned whatever was left. Evidence: the record shows the endpoint at work up to the end, so that the queue does not stand still; 12 of the requests were admitted after the signal; 'graceful shutdown completed' counted the rest as cut_off.

Change: a planned stop limits requests and their pieces. A request that is forecast to miss the end is refused on arrival, pieces that are not reached are given up by their queue, and at the end 503 goes to what has run nowhere, 504 to what is at an endpoint. Responses that have begun go on as before.

--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -16,6 +16,7 @@
     MemoryBudget,
     SharedRetryBudget,
 )
+from sapphirehoist.gateway.active_requests import ActiveRequests
 from sapphirehoist.gateway.buffered_relay import ResponseBuffer, ResponseCut
 from sapphirehoist.gateway.codec import CallCodec, DecodeFailure, RequestMetadata
 from sapphirehoist.gateway.dispatch import Dispatcher
@@ -118,6 +119,7 @@
     """
 
     __slots__ = (
+        "_active_requests",
         "_caller_timeouts",
         "_checks",
         "_chooser",
@@ -167,8 +169,17 @@
         self._memory = memory
         self._forecast_correction = ForecastCorrection()
         self._caller_timeouts = CallerTimeouts()
+        self._active_requests = ActiveRequests()
         self.in_flight_count = 0
 
+    def begin_stopping(self, stop_at: float) -> None:
+        """Refuse what cannot be answered by the monotonic time `stop_at`."""
+        self._active_requests.stop_at = stop_at
+
+    def answer_waiting_requests(self) -> None:
+        """Respond now to all requests whose response has not begun."""
+        self._active_requests.expire_unanswered()
+
     def __call__(self, request: CallerRequest, exchange: Exchange) -> None:
         """Process one request and finish its response."""
         trace = RequestTrace(self._clock, request.first_byte_at)
@@ -229,6 +240,7 @@
         if buffer is not None:
             buffer.request_id = trace.request_id
         timeout.start()
+        active_request = self._active_requests.add(timeout, exchange)
         try:
             error = self._checks.check_homes(
                 context, [context.service.name]
@@ -241,6 +253,7 @@
                 raise
             return self._timeout_outcome(progress, exchange)
         finally:
+            self._active_requests.remove(active_request)
             timeout.close()
 
     def _timeout_outcome(
@@ -251,6 +264,8 @@
             return TruncatedResponse("no time left for the rest of the answer")
         if progress.may_have_run or progress.is_attempt_in_flight:
             return ErrorResponse(ErrorReason.TIMEOUT, "no answer in time")
+        if self._active_requests.stop_at is not None:
+            return _stopping("not run in time")
         return ErrorResponse(ErrorReason.TIMEOUT_NOT_RUN, "not run in time", 0.1)
 
     def _resolve_request(
@@ -258,9 +273,7 @@
     ) -> _ResolvedRequest | ErrorResponse:
         """Look up the route, service and team, or return the error response."""
         if self._is_rejecting():
-            return ErrorResponse(
-                ErrorReason.STOPPING, "this node stops", _STOPPING_RETRY_AFTER_S
-            )
+            return _stopping("accepts no more requests")
         routes = self._current_routes()
         if routes is None:
             return ErrorResponse(
@@ -320,7 +333,7 @@
             resolved.service,
             team.name if team is not None and not route.is_public else "",
             priority,
-            request.first_byte_at + limit_s,
+            self._active_requests.limit(request.first_byte_at + limit_s),
             request.first_byte_at + deadline_s,
             request.first_byte_at + route.latency_target_s - elapsed_s,
             request.first_byte_at + min(limit_s, _first_byte_limit_s(route)),
@@ -349,6 +362,7 @@
             self._clock,
             self._chooser.expected_zone(context),
             context.allowed_regions,
+            self._active_requests.limit,
         )
         trace.piece_count = stage_runner.piece_count
         error = self._check_stage_capacity(stage_runner, context, trace)
@@ -376,7 +390,7 @@
         if error is not None:
             return error
         forecast = stage_runner.forecast()
-        error = self._checks.check_backoff(
+        error = self._check_stop(forecast, context) or self._checks.check_backoff(
             context.service,
             forecast.on_time_s,
             allowed_regions=context.allowed_regions,
@@ -398,6 +412,18 @@
                 return None
         return self._check_forecast(forecast, context, trace)
 
+    def _check_stop(
+        self, forecast: Forecast, context: RequestContext
+    ) -> ErrorResponse | None:
+        """Return an error response if this node is forecast to stop before."""
+        stop_at = self._active_requests.stop_at
+        expected_s = forecast.on_time_s * self._forecast_correction.factor(
+            context.route.name
+        )
+        if stop_at is None or self._clock.monotonic() + expected_s <= stop_at:
+            return None
+        return _stopping(f"stages would take {expected_s:.2f} s")
+
     def _check_forecast(
         self, forecast: Forecast, context: RequestContext, trace: RequestTrace
     ) -> ErrorResponse | None:
@@ -481,6 +507,8 @@
             return TruncatedResponse(failure.detail)
         if progress.may_have_run:
             return ErrorResponse(ErrorReason.ENDPOINT_LOST, failure.detail)
+        if self._active_requests.stop_at is not None:
+            return _stopping(failure.detail)
         return home_error or ErrorResponse(
             ErrorReason.STAGE_FAILED, failure.detail, _STAGES_RETRY_AFTER_S
         )
@@ -519,6 +547,13 @@
         return ErrorResponse(error.reason, error.detail, error.retry_after_s * factor)
 
 
+def _stopping(detail: str) -> ErrorResponse:
+    """Return the response to a request that another node has to serve."""
+    return ErrorResponse(
+        ErrorReason.STOPPING, f"this node stops; {detail}", _STOPPING_RETRY_AFTER_S
+    )
+
+
 def _cut_outcome(exc: ResponseCut, exchange: Exchange) -> DispatchOutcome:
     """Return the outcome of a request whose response was cut off for its caller."""
     if exchange.has_begun:
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -362,11 +362,13 @@
         """Shut down gracefully within ``stop_s``.
 
         New requests are accepted until callers no longer use this node's address, and
-        rejected afterwards. Requests in flight have the remaining time to complete.
+        rejected afterwards. Requests in flight have the remaining time to complete; all
+        others get a response before the process ends.
         """
         clock = self._dependencies.clock
         end_at = clock.monotonic() + self.settings.stop_s - _SHUTDOWN_MARGIN_S
         self.is_stopping = True
+        self.handler.begin_stopping(end_at)
         _logger.info(
             "graceful shutdown started",
             extra={"under_way": self.handler.in_flight_count},
@@ -380,12 +382,14 @@
         self._caller_server.stop()
         # Connections that were accepted last may still be sending their request.
         self._wait_for_callers(end_at)
+        self.handler.answer_waiting_requests()
+        row_removal = gevent.spawn(self._peer_discovery.remove_own_row)
+        responses = gevent.spawn(self._wait_for_callers, end_at + _SHUTDOWN_MARGIN_S)
+        gevent.joinall([row_removal, responses], _SHUTDOWN_MARGIN_S / 2)
         _logger.info(
             "graceful shutdown completed",
             extra={"cut_off": self.handler.in_flight_count},
         )
-        with gevent.Timeout(_SHUTDOWN_MARGIN_S / 2, False):
-            self._peer_discovery.remove_own_row()
         self.fleet.announce_gone()
 
     def _wait_for_callers(self, end_at: float) -> None:
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -78,6 +78,8 @@
         the final stages.
     allowed_regions : frozenset of str, optional
         Regions whose endpoints may compute the pieces; None for any.
+    limit_to_stop : callable, optional
+        Returns a monotonic time, or that of a planned stop of this node if earlier.
 
     Attributes
     ----------
@@ -96,6 +98,8 @@
         "_finished",
         "_forecaster",
         "_is_released",
+        "_limit_to_stop",
+        "_pieces_limit_at",
         "_priority",
         "_progress",
         "_released_stages",
@@ -121,8 +125,11 @@
         clock: Clock,
         engine_zone: str,
         allowed_regions: frozenset[str] | None = None,
+        limit_to_stop: Callable[[float], float] = lambda at: at,
     ) -> None:
         self._allowed_regions = allowed_regions
+        self._limit_to_stop = limit_to_stop
+        self._pieces_limit_at = limit_to_stop(deadline_at)
         self._correction = correction
         self._clock = clock
         self._call = call
@@ -183,6 +190,7 @@
         failure = self._start_ready_stages()
         while failure is None and not self._progress.is_complete:
             finished = self._wait_for_finished_piece()
+            self._limit_pieces_to_stop()
             if finished is None:
                 failure = self._start_due_stages()
                 if failure is None and self._is_infeasible():
@@ -210,6 +218,15 @@
         except Empty:
             return None
 
+    def _limit_pieces_to_stop(self) -> None:
+        """Let the pieces expire in time for a response before this node stops."""
+        limit_at = self._limit_to_stop(self._deadline_at)
+        excess_s = self._pieces_limit_at - limit_at
+        if excess_s > 0:
+            self._pieces_limit_at = limit_at
+            for pending in self._progress.pending:
+                pending.piece.expires_at -= excess_s
+
     def _is_infeasible(self) -> bool:
         """Return whether the request should fail now instead of waiting longer.
 
@@ -368,7 +385,7 @@
         time_to_first_token_s = self._forecaster.min_time_to_first_token_s(stage)
         piece = Piece(
             piece_request,
-            self._deadline_at - time_to_first_token_s,
+            self._pieces_limit_at - time_to_first_token_s,
             self._target_at
             - time_to_first_token_s
             - self._forecaster.call_duration_s(stage),
--- a/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_scheduler.py
@@ -513,9 +513,9 @@
         self, computation: _RemoteComputation
     ) -> ComputedNotification | None:
         """Wait for the results; return None on expiry or once the owner has ended."""
-        expires_at = computation.pieces[0].expires_at
         while not self._clock.wait(computation.results, _OWNER_POLL_INTERVAL_S):
-            is_expired = self._clock.monotonic() > expires_at
+            # A planned stop of this node shortens the time.
+            is_expired = self._clock.monotonic() > computation.pieces[0].expires_at
             if is_expired or not self._is_running(computation.owner):
                 return None
         return computation.results.get()
