Infer no origin of a stream beyond a network partition

Cause: without a reply a node refused only while it knew of present others. Once they were declared dead it inferred the origin from the only version that it knew; and replies of nodes beyond the same partition counted as proof. Evidence: with the others dead and the store away, one and two such nodes sent the stream of an unknown version to an engine (200). A process that stood still while the version joined did not: it asks, and is answered; that test passes before and after.

Change: an origin is inferred only if all nodes that were asked replied and the node is not partitioned or has read the endpoints lately, or after a new read of the endpoints.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -116,6 +116,7 @@
     StreamOrigins,
     TrackedStream,
     infer_origin,
+    may_infer_origin,
     stream_holders,
 )
 from sapphirehoist.decisions.subset import endpoint_subset, rendezvous_score
@@ -214,6 +215,7 @@
     "is_request_trait",
     "judge_endpoint",
     "limit_share",
+    "may_infer_origin",
     "most_capable",
     "next_vm_load",
     "predict_starts",
--- a/libs/decisions/sapphirehoist/decisions/stream_origins.py
+++ b/libs/decisions/sapphirehoist/decisions/stream_origins.py
@@ -138,6 +138,35 @@
     return StreamOrigin(service, next(iter(versions)))
 
 
+def may_infer_origin(
+    asked_count: int, reply_count: int, is_partitioned: bool, is_current: bool
+) -> bool:
+    """Return whether a node may infer origins from the versions that it has heard of.
+
+    A node beyond a network partition may have missed a version that began streams at
+    the others. Those on its own side are then no better witnesses.
+
+    Parameters
+    ----------
+    asked_count, reply_count : int
+        Number of nodes that were asked for the stream, and of those that replied.
+    is_partitioned : bool
+        Whether this node knows of others that it does not reach.
+    is_current : bool
+        Whether this node has lately read from the store which versions serve.
+
+    Examples
+    --------
+    >>> may_infer_origin(3, 3, is_partitioned=False, is_current=False)
+    True
+    >>> may_infer_origin(3, 3, is_partitioned=True, is_current=False)
+    False
+    >>> may_infer_origin(3, 2, is_partitioned=False, is_current=True)
+    False
+    """
+    return reply_count == asked_count and (is_current or not is_partitioned)
+
+
 def stream_holders(request_id: str, vms: Iterable[str], count: int) -> list[str]:
     """Return the `count` of `vms` that hold the origin of a stream, the first first.
 
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -761,6 +761,8 @@
             self.fleet,
             self._peer_bus,
             clock,
+            lambda: self._endpoint_follower.last_read_at,
+            self._change_bound_s,
         )
 
     def _build_dispatcher(
--- a/libs/gateway/sapphirehoist/gateway/stream_origin_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/stream_origin_sync.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import ClassVar
 
 import gevent
@@ -20,6 +20,7 @@
     StreamOrigins,
     TrackedStream,
     infer_origin,
+    may_infer_origin,
     stream_holders,
 )
 from sapphirehoist.discovery import EndpointDirectory, EndpointRecord
@@ -35,6 +36,11 @@
 # Members that have joined or left since change the ranks of the others.
 _ASKED_COUNT = 5
 _LOOKUP_TIMEOUT_S = 0.5
+# The store answers a read at most this long before the read ends.
+_READ_DELAY_S = 0.1
+# Longer than the time between two reads of the endpoints.
+_READ_TIMEOUT_S = 1.5
+_READ_POLL_INTERVAL_S = 0.05
 # A caller that takes its stream up just before its deadline may reach a node after it.
 _EXPIRY_MARGIN_S = 2.0
 
@@ -95,6 +101,10 @@
         Exchanges messages with holders.
     clock : Clock
         Determines the time between updates.
+    get_endpoints_read_at : callable
+        Returns the monotonic time of the last read of the endpoints; None before it.
+    get_propagation_bound_s : callable
+        Returns the time, in seconds, within which every node has to apply a change.
     """
 
     __slots__ = (
@@ -102,6 +112,8 @@
         "_clock",
         "_directory",
         "_fleet",
+        "_get_endpoints_read_at",
+        "_get_propagation_bound_s",
         "_journal",
         "_mixed_services",
         "_origins",
@@ -116,8 +128,12 @@
         fleet: Fleet,
         bus: PeerBus,
         clock: Clock,
+        get_endpoints_read_at: Callable[[], float | None],
+        get_propagation_bound_s: Callable[[], float],
     ) -> None:
         self._origins = origins
+        self._get_endpoints_read_at = get_endpoints_read_at
+        self._get_propagation_bound_s = get_propagation_bound_s
         self._journal = journal
         self._directory = directory
         self._fleet = fleet
@@ -161,9 +177,12 @@
         origin = self._origins.get(request_id)
         if origin is not None:
             return origin
-        versions = self._known_versions(service)
+        started_at = self._clock.monotonic()
         knows_past = self._journal.is_loaded
-        replies = self._ask_holders(StreamOriginRequest(request_id, service))
+        versions: set[str] = set()
+        asked_count, replies = self._ask_holders(
+            StreamOriginRequest(request_id, service)
+        )
         for reply in replies:
             if reply.origins:
                 stream = reply.origins[0].to_stream()
@@ -171,10 +190,41 @@
                 return stream.origin
             versions.update(reply.recent_versions)
             knows_past |= reply.knows_past
-        if not knows_past or (not replies and self._fleet.other_members()):
-            # A node that reaches no other one may have missed versions, too.
+        if not knows_past:
             return None
-        return infer_origin(service, versions)
+        may_infer = may_infer_origin(
+            asked_count,
+            len(replies),
+            bool(self._fleet.dead_members()),
+            self._is_current(started_at),
+        )
+        if not may_infer and not self._wait_for_read(started_at):
+            _logger.info(
+                "origin of a stream in doubt",
+                extra={
+                    "request_id": request_id,
+                    "service": service,
+                    "asked": asked_count,
+                    "replies": len(replies),
+                },
+            )
+            return None
+        return infer_origin(service, versions | self._known_versions(service))
+
+    def _is_current(self, now: float) -> bool:
+        """Return whether this node knows the endpoints of a propagation bound ago."""
+        read_at = self._get_endpoints_read_at()
+        return read_at is not None and now - read_at <= self._get_propagation_bound_s()
+
+    def _wait_for_read(self, since: float) -> bool:
+        """Wait for the endpoints as of `since` or later; return False on a timeout."""
+        ends_at = self._clock.monotonic() + _READ_TIMEOUT_S
+        while self._clock.monotonic() < ends_at:
+            read_at = self._get_endpoints_read_at()
+            if read_at is not None and read_at > since + _READ_DELAY_S:
+                return True
+            self._clock.sleep(_READ_POLL_INTERVAL_S)
+        return False
 
     def run(self) -> None:
         """Send origins to their holders at a fixed interval, until killed."""
@@ -219,8 +269,13 @@
         for vm, entries in by_holder.items():
             self._bus.notify(members[vm].peer_address, StreamOriginsUpdate(entries))
 
-    def _ask_holders(self, request: StreamOriginRequest) -> list[StreamOriginReply]:
-        """Return the replies of holders, up to the first one that knows the stream."""
+    def _ask_holders(
+        self, request: StreamOriginRequest
+    ) -> tuple[int, list[StreamOriginReply]]:
+        """Return how many holders were asked, and their replies.
+
+        No reply is awaited after the first one that knows the stream.
+        """
         members = {member.vm: member for member in self._fleet.other_members()}
         asked = stream_holders(request.request_id, members, _ASKED_COUNT)
         calls = [gevent.spawn(self._ask, members[vm], request) for vm in asked]
@@ -231,7 +286,7 @@
                 replies.append(reply)
                 if reply.origins:
                     break
-        return replies
+        return len(asked), replies
 
     def _ask(
         self, member: Member, request: StreamOriginRequest
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -183,9 +183,11 @@
         self.gateways = [Gateway(n, folder, self.store.address) for n in range(1, 5)]
 
     def add_endpoint(
-        self, name: str, service: str, handler: ResponseHandler
+        self, name: str, service: str, handler: ResponseHandler, version: str = "v1"
     ) -> EndpointStandIn:
-        endpoint = EndpointStandIn(name, service, self.store, handler).start()
+        endpoint = EndpointStandIn(
+            name, service, self.store, handler, software_version=version
+        ).start()
         self.endpoints.append(endpoint)
         return endpoint
 
@@ -446,3 +448,73 @@
     slow.restart(slow.owner)
     gevent.joinall(calls)
     assert [call.get() for call in calls] == [200] * 6
+
+
+def read_stream(gateway: Gateway, received: bytes = b"", first_id: str = "") -> bytes:
+    """Begin a stream or take it up after `received`; return all events so far."""
+    headers = caller_headers(f"ask-{next(_ids)}", DEADLINE_S)
+    if received:
+        last_id = str(received.count(b"id:"))
+        headers |= {"Resumes": first_id, "Last-Event-Id": last_id}
+    else:
+        headers["X-Request-Id"] = first_id
+    url = f"http://{gateway.ip}:{gateway.ports.front}/ask/x"
+    response = _pool.request("POST", url, headers=headers, preload_content=False)
+    try:
+        for block in response.stream(256):
+            received += block if response.status == 200 else b""
+    except urllib3.exceptions.HTTPError:
+        pass
+    finally:
+        response.close()
+    return received
+
+
+def versions_of(received: bytes) -> set[bytes]:
+    return {
+        line.removeprefix(b"data: ").partition(b"-")[0]
+        for line in received.split(b"\n")
+        if line.startswith(b"data:")
+    }
+
+
+@pytest.mark.parametrize("others", [NEW, OLD])
+def test_suspended_process_continues_no_stream_at_another_version(
+    fleet: MixedFleet, others: str
+) -> None:
+    """Guards against streams that go on at another software version at a VM that stood
+    still while engines of the version that began them joined.
+    """
+    fleet.start_all(NEW, others, others)
+    suspended, other = fleet.gateways[:2]
+    assert suspended.process is not None
+    suspended.process.suspend()
+    models = [e for e in fleet.endpoints if e.service == "model"]
+    for number in range(3):
+        models.append(fleet.add_endpoint(f"n-{number}", "model", respond, "v2"))
+    for model in models:
+        model.default_handler = stream(
+            EVENT_COUNT, reset_after=2, text=model.software_version
+        )
+    streams: dict[str, bytes] = {}
+
+    def has_both_versions() -> bool:
+        first_id = f"stream-{next(_ids)}"
+        streams[first_id] = read_stream(other, first_id=first_id)
+        return all(
+            sum(versions_of(received) == {version} for received in streams.values()) > 3
+            for version in (b"v1", b"v2")
+        )
+
+    wait_until(has_both_versions, "streams of both versions", WAIT_S)
+    for model in models:
+        model.default_handler = stream(EVENT_COUNT, text=model.software_version)
+    suspended.process.resume()
+    takers = {
+        first_id: gevent.spawn(read_stream, suspended, received, first_id)
+        for first_id, received in streams.items()
+        if received
+    }
+    results = [taker.get() for taker in takers.values()]
+    assert all(len(versions_of(received)) == 1 for received in results)
+    assert any(received.count(b"id:") == EVENT_COUNT for received in results)
