Refuse odd entries of other writers where they are decoded

Cause: decoders checked types but not ranges, and what they let through failed where it was used. Here a lone surrogate failed each read of the table; integers beyond 64 bits failed the messages to peers; ports and addresses raised in connect; a node's row without an address raised in each heartbeat. No process ended.

Connections and requests to what a peer of an earlier build passes on fail as not sent.

--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -181,24 +181,18 @@
         return not poll.poll(0)
 
     def send(
-        self, request: OutboundRequest, is_matching: ResponseMatcher
+        self, request: h11.Request, body: bytes, is_matching: ResponseMatcher
     ) -> EndpointResponse | Lost:
-        """Send `request` and read the head of its response."""
+        """Send a request with its body and read the head of its response."""
         self._is_matching = is_matching
-        self._request = h11.Request(
-            method=request.head.method,
-            target=request.head.target,
-            headers=[*request.head.headers.items(), *_framing_headers(request)],
-        )
-        head = self._encode_request(request.body)
+        self._request = request
+        head = self._encode_request(body)
         try:
-            if len(head) + len(request.body) <= _MAX_INLINE_SEND_BYTES:
-                self._sock.sendall(head + request.body)
+            if len(head) + len(body) <= _MAX_INLINE_SEND_BYTES:
+                self._sock.sendall(head + body)
             else:
                 # An endpoint may respond before it has read a long body.
-                self._send_task = gevent.spawn(
-                    self._send_in_background, head, request.body
-                )
+                self._send_task = gevent.spawn(self._send_in_background, head, body)
             return self._read_matching_head()
         except (OSError, h11.RemoteProtocolError) as exc:
             self.close()
@@ -376,6 +370,9 @@
         EndpointResponse, NotSent or Lost
             Response with its head read, or why there is none.
         """
+        encoded_request = _encode_request_head(request)
+        if isinstance(encoded_request, NotSent):
+            return encoded_request
         conn = self._pop_idle(address, max_idle_s, may_use)
         if conn is None:
             connected = self._connect(address, relay_regions)
@@ -387,7 +384,7 @@
                 return NotSent(f"{address}: must not be used any more")
         has_outcome = False
         try:
-            response = conn.send(request, is_matching)
+            response = conn.send(encoded_request, request.body, is_matching)
             has_outcome = True
             return response
         finally:
@@ -464,6 +461,23 @@
     )
 
 
+def _encode_request_head(request: OutboundRequest) -> h11.Request | NotSent:
+    """Return the head of a request, or why HTTP cannot express it.
+
+    It may contain texts of other writers, such as the name of an endpoint.
+    """
+    headers = [*request.head.headers.items(), *_framing_headers(request)]
+    try:
+        return h11.Request(
+            method=request.head.method,
+            target=request.head.target,
+            # The inverse of how received headers are decoded.
+            headers=[(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers],
+        )
+    except (h11.LocalProtocolError, UnicodeError) as exc:
+        return NotSent(f"the request cannot be encoded: {exc}")
+
+
 def _framing_headers(request: OutboundRequest) -> list[tuple[str, str]]:
     return [("Content-Length", str(len(request.body)))]
 
--- a/libs/http1/sapphirehoist/http1/connector.py
+++ b/libs/http1/sapphirehoist/http1/connector.py
@@ -71,7 +71,8 @@
             sock.connect((host, int(port)))
             sock.settimeout(None)
             is_connected = True
-        except OSError as exc:
+        except (OSError, OverflowError, ValueError) as exc:
+            # Peers pass on addresses that other writers have chosen.
             return NotSent(f"{address}: no connection: {exc}")
         finally:
             if not is_connected:
--- a/libs/membership/sapphirehoist/membership/member.py
+++ b/libs/membership/sapphirehoist/membership/member.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import ClassVar
+from typing import Annotated, ClassVar
 
 import msgspec
 
@@ -46,7 +46,8 @@
     """
 
     vm: str
-    incarnation: int
+    # Rows of the table may state integers that messages cannot contain.
+    incarnation: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
     region: str
     zone: str
     peer_address: str
--- a/libs/peers/sapphirehoist/peers/tcp.py
+++ b/libs/peers/sapphirehoist/peers/tcp.py
@@ -26,6 +26,7 @@
 from sapphirehoist.sockets import configure_tcp_socket
 
 _MAX_QUEUED_MESSAGES = 256
+_MAX_PORT = 65_535
 _STREAM_MARK = b"\xff" * LENGTH_PREFIX_BYTES
 _READ_CHUNK_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 1.0
@@ -53,7 +54,9 @@
     )
 
     def __init__(self, listen: str) -> None:
-        self._address = _parse_address(listen)
+        listen_address = _parse_address(listen)
+        assert listen_address is not None, f"no address to listen on: {listen}"
+        self._address = listen_address
         self._outgoing: dict[str, _OutgoingConnection] = {}
         self._incoming_sockets: set[socket.socket] = set()
         self._receiver: Receiver | None = None
@@ -78,19 +81,25 @@
         connection = self._outgoing.get(address)
         if connection is None:
             assert self._receiver is not None
+            target = _parse_address(address)
+            if target is None:
+                return False
             connection = self._outgoing[address] = _OutgoingConnection(
-                address, self._receiver.receive_reply
+                target, self._receiver.receive_reply
             )
         return connection.send(payload)
 
     def open_stream(self, address: str, payload: bytes) -> socket.socket | None:
         """Open a byte stream to `address` that begins with `payload`."""
+        target = _parse_address(address)
+        if target is None:
+            return None
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         is_open = False
         try:
             configure_tcp_socket(sock)
             sock.settimeout(_CONNECT_TIMEOUT_S)
-            sock.connect(_parse_address(address))
+            sock.connect(target)
             sock.settimeout(None)
             sock.sendall(_STREAM_MARK)
             send_frame(sock, payload)
@@ -166,8 +175,10 @@
 
     __slots__ = ("_address", "_on_reply", "_queue", "_task")
 
-    def __init__(self, address: str, on_reply: Callable[[bytes], None]) -> None:
-        self._address = _parse_address(address)
+    def __init__(
+        self, address: tuple[str, int], on_reply: Callable[[bytes], None]
+    ) -> None:
+        self._address = address
         self._on_reply = on_reply
         self._queue: Queue = Queue(_MAX_QUEUED_MESSAGES)
         self._task = gevent.spawn(self._run)
@@ -278,6 +289,10 @@
             buffer = buffer[frame_end:]
 
 
-def _parse_address(address: str) -> tuple[str, int]:
+def _parse_address(address: str) -> tuple[str, int] | None:
+    """Return host and port; None if members' rows contain something else."""
     host, _, port = address.removeprefix("tcp://").rpartition(":")
+    is_valid = port.isascii() and port.isdecimal() and len(port) <= len(str(_MAX_PORT))
+    if not is_valid or int(port) > _MAX_PORT or not (host.isascii() and host):
+        return None
     return host, int(port)
