Bound the numbers in headers of endpoints and callers

Callers saw: an endpoint's whole answer was replaced by 502 where one of its headers held a number of thousands of digits, or a warm-up time of 1e300 ms; requests with such a number got 502. Found on looking for the class of odd entries on related paths.

--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -30,6 +30,8 @@
 _IDLE_LIMIT_MARGIN_S = 0.6
 _MAX_IDLE_CONNECTIONS_PER_ADDRESS = 16
 _MAX_RESPONSE_HEAD_BYTES = 65_536
+# Of the idle time that an endpoint states, in seconds.
+_MAX_TIMEOUT_DIGITS = 9
 # Responses to other requests that are skipped before the connection is closed.
 _MAX_MISMATCHED_RESPONSES = 2
 # A faulty endpoint may send bytes without end. What is buffered or skipped is bounded,
@@ -305,7 +307,8 @@
     def _apply_keep_alive_timeout(self, head: ResponseHead) -> None:
         for part in head.headers.get("keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdecimal():
+            is_number = value.isdecimal() and len(value) <= _MAX_TIMEOUT_DIGITS
+            if name.lower() == "timeout" and is_number:
                 limit_s = int(value) - _IDLE_LIMIT_MARGIN_S
                 self.idle_limit_s = max(limit_s, _DEFAULT_IDLE_LIMIT_S / 2)
                 return
