Treat 409 as a refusal where a request has no stages

Callers saw: 502 for a request that had not run, if an endpoint of a route without stages answered 409 with X-Not-Executed. Cause: 409 states that a stage result is gone, so that the stages were to run again; without stages the outcome reached an assertion. Evidence: 18 cases of refusals with 421, 429 and 503 that are written again pass before and after; the 6 with 409 failed with 502 on the very first, genuine refusal. Change: without stage results, 409 is an ordinary refusal. Measured: TestRefusalThatIsWrittenAgain, 6 of 24 failed before, 24 pass; all of test_faulty_replies.py, 42 passed.

--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -264,7 +264,7 @@
         self._endpoints.record_reply(record, metadata, progress.attempt_started_at)
         if metadata.is_not_run:
             outcome = AttemptOutcome.NOT_RUN
-            if reply.head.status == _STATUS_CONFLICT:
+            if reply.head.status == _STATUS_CONFLICT and inputs is not None:
                 outcome = AttemptOutcome.INPUTS_GONE
             # Reading the short body to its end allows the connection to be reused.
             reply.read_all()
