Keep unusable numbers and addresses from failing the daemon

Callers saw: a stage's whole answer counted as an internal fault if a header of it had a number of thousands of digits. Found on looking for the class of odd entries in the daemon. Cause: int() refuses more than 4,300 digits; ZeroMQ refuses an address that is none when the socket connects, so that each message to a member with such a row raised an exception, in the loops that send to all members. Change: longer numbers count as not stated; messages to what is no address are dropped.

--- a/libs/endpoints/sapphirehoist/endpoints/http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -37,6 +37,7 @@
 _MAX_CONNECTIONS_PER_POOL = 64
 _MAX_POOLS = 1024
 _READ_SIZE_BYTES = 65_536
+_MAX_DIGITS = 15
 _STATUS_OK = 200
 _BUSY_STATUSES = (429, 503)
 _EVENT_END = b"\n\n"
@@ -321,7 +322,9 @@
 
 
 def _parse_int(text: str | None) -> int | None:
-    return int(text) if text is not None and text.isdecimal() else None
+    """Return the integer in `text`; None for another text or too many digits."""
+    is_integer = text is not None and text.isdecimal() and len(text) <= _MAX_DIGITS
+    return int(text) if text is not None and is_integer else None
 
 
 def _classify_error_status(
--- a/libs/endpoints/sapphirehoist/endpoints/tests/test_http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/tests/test_http.py
@@ -77,6 +77,15 @@
         assert isinstance(answered, Answered)
         assert answered.body == b"ok"
 
+    @pytest.mark.parametrize("name", ["X-Load", "X-Tokens", "X-Incarnation"])
+    def test_reply_with_a_number_that_is_too_long(
+        self, client: HttpEndpointClient, scripted: ScriptedEndpoint, name: str
+    ) -> None:
+        """Guards against answers that are lost since a header is not usable."""
+        headers = f"{IDS}{name}: {'9' * 5_000}\r\n"
+        scripted.replies = [reply("200 OK", headers, b"ok")]
+        assert isinstance(client.call(make_endpoint(scripted), CALL), Answered)
+
     def test_refusal_of_this_call(
         self, client: HttpEndpointClient, scripted: ScriptedEndpoint
     ) -> None:
--- a/libs/peers/sapphirehoist/peers/tests/test_bus.py
+++ b/libs/peers/sapphirehoist/peers/tests/test_bus.py
@@ -6,6 +6,7 @@
 from typing import ClassVar
 
 import gevent
+import pytest
 import zmq
 
 from sapphirehoist.clock import HybridClock, ManualClock, SystemClock
@@ -19,6 +20,7 @@
     PeerMessage,
     PeerTransport,
     Receiver,
+    TcpTransport,
     ZmqTransport,
 )
 from sapphirehoist.testing import free_port, wait_until
@@ -127,6 +129,25 @@
     assert task.get(timeout=0) == Reply(7)
 
 
+@pytest.mark.parametrize("transport_type", [ZmqTransport, TcpTransport])
+@pytest.mark.parametrize(
+    "address", ["", "nowhere", "tcp://127.0.0.1:", "tcp://127.0.0.1:\u0663"]
+)
+def test_message_to_something_that_is_no_address_is_dropped(
+    transport_type: type[PeerTransport], address: str
+) -> None:
+    """Guards against rows of members that end the tasks that send to all members."""
+    own_address = f"tcp://127.0.0.1:{free_port()}"
+    transport = (
+        ZmqTransport(own_address, None)
+        if transport_type is ZmqTransport
+        else TcpTransport(own_address)
+    )
+    transport.start(RecordingReceiver())
+    assert not transport.send(address, b"message")
+    transport.close()
+
+
 class RecordingReceiver(Receiver):
     """Records requests and counts refused connections."""
 
--- a/libs/peers/sapphirehoist/peers/zeromq.py
+++ b/libs/peers/sapphirehoist/peers/zeromq.py
@@ -79,7 +79,8 @@
             return False
         try:
             self._get_dealer(address).send(payload, zmq.NOBLOCK)
-        except zmq.Again:
+        except zmq.ZMQError:
+            # The queue is full, or a member's row contains no address.
             return False
         return True
 
@@ -121,7 +122,11 @@
             dealer = self._new_socket(zmq.DEALER)
             if self._keys is not None:
                 dealer.curve_serverkey = self._keys.public.encode()
-            dealer.connect(address)
+            try:
+                dealer.connect(address)
+            except zmq.ZMQError:
+                dealer.close()
+                raise
             task = gevent.spawn(self._receive_replies, dealer)
             dealer_and_task = self._dealers[address] = (dealer, task)
         return dealer_and_task[0]
