Forward headers with bytes beyond ASCII unchanged

Cause: headers are decoded as ISO 8859-1 and were encoded as ASCII. The exception came once the response counted as begun, so that the connection was reset.

--- a/libs/http1/sapphirehoist/http1/server.py
+++ b/libs/http1/sapphirehoist/http1/server.py
@@ -368,8 +368,11 @@
         framing = _framing_headers(length)
         if self._server.is_closing:
             framing.append(("Connection", "close"))
+        headers = [*head.headers.items(), *framing]
         event = h11.Response(
-            status_code=head.status, headers=[*head.headers.items(), *framing]
+            status_code=head.status,
+            # The inverse of how received headers are decoded.
+            headers=[(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers],
         )
         data = self._parser.send(event) or b""
         if first_bytes:
