Let streams go on at no engine that may have started again unseen

Cause: the version of a stream is compared with the engine's record, which is up to 0.75 s old. That the connections to the engine were lost was not held against the record. Streams that go on avoid it; streams that begin there do not go on elsewhere and record no origin.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -49,6 +49,7 @@
 from sapphirehoist.decisions.endpoint_loads import EndpointLoad, EndpointLoads
 from sapphirehoist.decisions.endpoint_memory import EndpointMemory, HeldBytes
 from sapphirehoist.decisions.endpoint_paths import EndpointPaths
+from sapphirehoist.decisions.endpoint_restarts import EndpointRestarts
 from sapphirehoist.decisions.engine_pace import EnginePaces, PaceState
 from sapphirehoist.decisions.entry_selection import (
     EntryVm,
@@ -148,6 +149,7 @@
     "EndpointLoads",
     "EndpointMemory",
     "EndpointPaths",
+    "EndpointRestarts",
     "EndpointState",
     "EngineCrash",
     "EnginePaces",
--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -371,7 +371,8 @@
     ) -> None:
         """Bind a stream that begins to the version of the endpoint that began it."""
         progress.software_version = record.software_version
-        if context.is_resumable_stream:
+        progress.is_version_confirmed = not self._endpoints.may_have_restarted(record)
+        if context.is_resumable_stream and progress.is_version_confirmed:
             self._stream_origins.record_start(
                 context.metadata.stream_id,
                 record,
@@ -421,6 +422,7 @@
         service = context.service
         return (
             context.route.is_idempotent
+            and progress.is_version_confirmed
             and progress.send_count + 1 < context.route.max_attempts
             and bool(
                 self._endpoints.candidates(
--- a/libs/gateway/sapphirehoist/gateway/attempt_recorder.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt_recorder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sapphirehoist.decisions import PlacementCandidate
+from sapphirehoist.decisions import EndpointRestarts, PlacementCandidate
 from sapphirehoist.discovery import EndpointRecord
 from sapphirehoist.gateway.attempt import AttemptResult
 from sapphirehoist.gateway.attempt_outcome import AttemptOutcome
@@ -12,6 +12,9 @@
 from sapphirehoist.observability import Metrics
 from sapphirehoist.routes import RequestKind
 
+# Outcomes of attempts at an endpoint that has ended, among other reasons.
+_LOSSES = (AttemptOutcome.NOT_SENT, AttemptOutcome.LOST, AttemptOutcome.BROKEN)
+
 
 class AttemptRecorder:
     """Updates health, speed and quarantine after each attempt.
@@ -22,20 +25,24 @@
         Load and health of each endpoint.
     crash_quarantine : CrashQuarantineSync
         Learns which requests crash engines.
+    restarts : EndpointRestarts
+        Learns at which endpoints attempts are lost.
     metrics : Metrics
         Receives the counters ``attempts_total`` and ``endpoint_ejections_total``.
     """
 
-    __slots__ = ("_crash_quarantine", "_endpoints", "_metrics")
+    __slots__ = ("_crash_quarantine", "_endpoints", "_metrics", "_restarts")
 
     def __init__(
         self,
         endpoints: EndpointCandidates,
         crash_quarantine: CrashQuarantineSync,
+        restarts: EndpointRestarts,
         metrics: Metrics,
     ) -> None:
         self._endpoints = endpoints
         self._crash_quarantine = crash_quarantine
+        self._restarts = restarts
         self._metrics = metrics
 
     def record(
@@ -48,6 +55,9 @@
     ) -> None:
         """Update the metrics and the health of the endpoint after an attempt."""
         self._update_quarantine(context, record, result.outcome)
+        if result.outcome in _LOSSES:
+            is_absent = result.outcome is AttemptOutcome.NOT_SENT
+            self._restarts.record_loss(record.name, is_absent)
         loads = self._endpoints.loads
         self._metrics.count(
             "attempts_total", service=context.service.name, end=result.outcome.value
--- a/libs/gateway/sapphirehoist/gateway/candidates.py
+++ b/libs/gateway/sapphirehoist/gateway/candidates.py
@@ -61,6 +61,8 @@
 
     Attributes
     ----------
+    may_have_restarted : callable
+        Returns whether an endpoint may have another software version than its record.
     get_pace_factors : callable
         Returns the work time of engines of a service by name, relative to a typical
         one.
@@ -82,6 +84,7 @@
         "_zone",
         "get_pace_factors",
         "loads",
+        "may_have_restarted",
     )
 
     def __init__(
@@ -109,6 +112,7 @@
         self._forward_pause = forward_pause
         self._pacing = pacing
         self._is_evacuated = is_evacuated
+        self.may_have_restarted: Callable[[EndpointRecord], bool] = lambda _: False
         self.get_pace_factors: Callable[[str], Mapping[str, float]] = lambda _: {}
         self._generation_tokens: Counter[str] = Counter()
         # Names of the endpoints whose last report stated an invalid slowdown.
@@ -141,8 +145,8 @@
         """Return candidates not in `tried`; ejected ones only if no other is left.
 
         Endpoints that want no request from this node now are never candidates, nor are
-        those of another software version than `software_version`, unless it is None,
-        nor those that are not eligible; see `is_eligible`.
+        those of another software version than `software_version`, or that may have it
+        by now, unless it is None, nor those that are not eligible; see `is_eligible`.
         """
         records = [
             record
@@ -151,6 +155,8 @@
             )
             if record.name not in tried and not self.backoff_s(record)
         ]
+        if software_version is not None:
+            records = [r for r in records if not self.may_have_restarted(r)]
         available = [
             record for record in records if not self.loads.is_ejected(record.name)
         ]
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -21,6 +21,7 @@
     EndpointLoads,
     EndpointMemory,
     EndpointPaths,
+    EndpointRestarts,
     EnginePaces,
     EvacuatedZones,
     GenerationPlacement,
@@ -788,7 +789,15 @@
             engine_paces,
             clock,
         )
-        recorder = AttemptRecorder(endpoints, self.crash_quarantine, self.metrics)
+        restarts = EndpointRestarts(clock)
+        endpoints.may_have_restarted = lambda record: restarts.may_have_restarted(
+            record.name,
+            self._endpoint_connections.connected_at(record.address),
+            self._endpoint_follower.last_read_at,
+        )
+        recorder = AttemptRecorder(
+            endpoints, self.crash_quarantine, restarts, self.metrics
+        )
         return Dispatcher(
             endpoints,
             checks,
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -182,6 +182,8 @@
         Whether the request is sent to test a quarantined part of its prompt.
     software_version : str or None
         Software version that began the stream; None if no event was sent yet.
+    is_version_confirmed : bool
+        Whether `software_version` is certain; no other engine may go on otherwise.
     streamed_head : ResponseHead or None
         Head of the stream of which the caller has received a part.
     pending_prefill_tokens : int
@@ -193,6 +195,7 @@
         "candidate",
         "is_attempt_in_flight",
         "is_quarantine_trial",
+        "is_version_confirmed",
         "may_have_run",
         "pending_prefill_tokens",
         "relay",
@@ -216,5 +219,6 @@
         self.attempt_started_at = 0.0
         self.is_quarantine_trial = False
         self.software_version: str | None = None
+        self.is_version_confirmed = True
         self.streamed_head: ResponseHead | None = None
         self.pending_prefill_tokens = 0
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -133,6 +133,8 @@
         Longest idle time after which the connection may be reused, in seconds.
     idle_since : float
         Monotonic time at which the connection became idle, in seconds.
+    opened_at : float
+        Monotonic time at which the connection was opened, in seconds.
     is_closed : bool
         Whether this node closed the connection.
     """
@@ -152,6 +154,7 @@
         "idle_limit_s",
         "idle_since",
         "is_closed",
+        "opened_at",
     )
 
     def __init__(
@@ -170,6 +173,7 @@
         self._receive_count = 0
         self.is_closed = False
         self.idle_since = 0.0
+        self.opened_at = 0.0
         self.idle_limit_s = _DEFAULT_IDLE_LIMIT_S
 
     def may_serve(self, may_use: Callable[[EndpointSocket], bool] | None) -> bool:
@@ -328,7 +332,7 @@
         Counts ``endpoint_connections_total``.
     """
 
-    __slots__ = ("_clock", "_connector", "_idle", "_metrics")
+    __slots__ = ("_clock", "_connector", "_idle", "_metrics", "_open")
 
     def __init__(
         self, connector: EndpointConnector, clock: Clock, metrics: Metrics
@@ -337,6 +341,8 @@
         self._clock = clock
         self._metrics = metrics
         self._idle: dict[str, list[EndpointConnection]] = {}
+        # May contain closed ones.
+        self._open: dict[str, list[EndpointConnection]] = {}
 
     def call(
         self,
@@ -394,6 +400,10 @@
             if not has_outcome:
                 conn.close()
 
+    def connected_at(self, address: str) -> list[float]:
+        """Return the monotonic times at which the open connections were opened."""
+        return [c.opened_at for c in self._open.get(address, ()) if not c.is_closed]
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an endpoint that no longer exists."""
         for conn in self._idle.pop(address, []):
@@ -401,6 +411,10 @@
 
     def close_stale(self) -> None:
         """Close the connections that have reached their idle limit."""
+        for address, conns in list(self._open.items()):
+            self._open[address] = [conn for conn in conns if not conn.is_closed]
+            if not self._open[address]:
+                del self._open[address]
         for address, conns in list(self._idle.items()):
             kept = [conn for conn in conns if self._is_fresh(conn, None)]
             for conn in conns:
@@ -442,9 +456,13 @@
         if isinstance(sock, NotSent):
             return sock
         self._metrics.count("endpoint_connections_total")
+        on_idle = self._idle_callback(address)
         if not self._connector.is_reusable(sock):
-            return EndpointConnection(address, sock, EndpointConnection.close)
-        return EndpointConnection(address, sock, self._idle_callback(address))
+            on_idle = EndpointConnection.close
+        conn = EndpointConnection(address, sock, on_idle)
+        conn.opened_at = self._clock.monotonic()
+        self._open.setdefault(address, []).append(conn)
+        return conn
 
     def _idle_callback(self, address: str) -> Callable[[EndpointConnection], None]:
         def add_to_pool(conn: EndpointConnection) -> None:
