--- a/libs/decisions/sapphirehoist/decisions/endpoint_restarts.py
+++ b/libs/decisions/sapphirehoist/decisions/endpoint_restarts.py
@@ -92,8 +92,9 @@
     ) -> bool:
         """Return whether `endpoint` may be another process than its entry states.
 
-        The loss is forgotten once the connections prove that it is not. A connection ends with its process. The entries that were read after it was
-        opened are therefore those of the process at its other end.
+        A connection ends with its process. The entries that were read after it was
+        opened are therefore those of the process at its other end. A loss is forgotten
+        once the connections prove that there was no restart since.
 
         Parameters
         ----------
