--- a/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/crash_quarantine_sync.py
@@ -21,6 +21,10 @@
     is_request_trait,
 )
 from sapphirehoist.discovery import EndpointRecord
+from sapphirehoist.gateway.crash_quarantine_journal import (
+    CrashQuarantineJournal,
+    QuarantineUpdate,
+)
 from sapphirehoist.gateway.path_check import EndpointPathCheck
 from sapphirehoist.membership import Digest, Fleet, Member
 from sapphirehoist.messages import element_digest
@@ -60,17 +64,6 @@
     traits: list[str]
 
 
-class QuarantineUpdate(PeerMessage, frozen=True, array_like=True):
-    """Publishes the state of the quarantine of one trait; see `QuarantineState`."""
-
-    KIND: ClassVar[str] = "gateway.quarantine"
-
-    trait: str
-    revision: int
-    started_trials: int
-    failed_trials: int
-
-
 class QuarantineRequest(PeerMessage, frozen=True, array_like=True):
     """Requests the states of all traits that the receiver knows."""
 
@@ -98,6 +91,8 @@
         Requests the states of a peer.
     path_check : EndpointPathCheck
         Compares what this node sees of an endpoint with what others see.
+    journal : CrashQuarantineJournal
+        Keeps the states in the store.
     metrics : Metrics
         Receives ``engine_crashes_total``, ``prompt_quarantines_total``,
         ``prompt_trials_total``, ``request_quarantines_total`` and
@@ -112,6 +107,7 @@
     __slots__ = (
         "_bus",
         "_fleet",
+        "_journal",
         "_metrics",
         "_path_check",
         "_quarantine",
@@ -125,9 +121,12 @@
         fleet: Fleet,
         bus: PeerBus,
         path_check: EndpointPathCheck,
+        journal: CrashQuarantineJournal,
         metrics: Metrics,
     ) -> None:
         self._quarantine = quarantine
+        self._journal = journal
+        journal.on_load = self._apply_states
         self._fleet = fleet
         self._bus = bus
         self._path_check = path_check
@@ -229,9 +228,13 @@
         return is_new
 
     def _handle_state(self, update: QuarantineUpdate) -> bool:
-        state = QuarantineState(
-            update.trait, update.revision, update.started_trials, update.failed_trials
-        )
+        return self._apply_state(update.to_state())
+
+    def _apply_states(self, states: Sequence[QuarantineState]) -> None:
+        for state in states:
+            self._apply_state(state)
+
+    def _apply_state(self, state: QuarantineState) -> bool:
         is_new = self._quarantine.apply(state)
         if is_new:
             self._log_state(state)
@@ -241,7 +244,8 @@
         """Broadcast the states that this node has changed."""
         for state in states:
             self._log_state(state)
-            self._fleet.broadcast(_to_update(state))
+            self._journal.add(state)
+            self._fleet.broadcast(QuarantineUpdate.from_state(state))
 
     def _log_state(self, state: QuarantineState) -> None:
         is_request = is_request_trait(state.trait)
@@ -283,10 +287,5 @@
     def _handle_request(
         self, sender: str, request: QuarantineRequest
     ) -> QuarantineReply:
-        return QuarantineReply([_to_update(s) for s in self._quarantine.states()])
-
-
-def _to_update(state: QuarantineState) -> QuarantineUpdate:
-    return QuarantineUpdate(
-        state.trait, state.revision, state.started_trials, state.failed_trials
-    )
+        states = self._quarantine.states()
+        return QuarantineReply([QuarantineUpdate.from_state(s) for s in states])
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -52,6 +52,7 @@
 from sapphirehoist.gateway.brittle_guard import BrittleGuard
 from sapphirehoist.gateway.candidates import EndpointCandidates
 from sapphirehoist.gateway.codec import CallCodec
+from sapphirehoist.gateway.crash_quarantine_journal import CrashQuarantineJournal
 from sapphirehoist.gateway.crash_quarantine_sync import CrashQuarantineSync
 from sapphirehoist.gateway.dispatch import Dispatcher
 from sapphirehoist.gateway.endpoint_chooser import EndpointChooser
@@ -319,6 +320,7 @@
             self._prompt_broadcaster.run,
             self._stream_origin_sync.run,
             self._stream_origin_journal.run,
+            self._crash_quarantine_journal.run,
             self._vm_load_sync.run,
             self.endpoint_connector.run,
             self._run_periodic_maintenance,
@@ -729,6 +731,9 @@
 
     def _build_crash_quarantine(self) -> None:
         clock = self._dependencies.clock
+        self._crash_quarantine_journal = CrashQuarantineJournal(
+            self._dependencies.table_service, clock
+        )
         self.crash_quarantine = CrashQuarantineSync(
             CrashQuarantine(clock, self._dependencies.random),
             self.fleet,
@@ -742,6 +747,7 @@
                 self._dependencies.random,
                 self.metrics,
             ),
+            self._crash_quarantine_journal,
             self.metrics,
         )
 
