Log what each attempt brought of a stream

A line 'attempt failed' of a stream now has the three, and the line 'request' says for each attempt what it brought ('after 3: 5 events to 8').

--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -30,7 +30,7 @@
     StageInputs,
     TruncatedResponse,
 )
-from sapphirehoist.gateway.trace import RequestTrace
+from sapphirehoist.gateway.trace import RequestTrace, StreamedPart
 from sapphirehoist.http1 import Exchange
 
 # Statuses that guarantee to a caller that its request was not executed.
@@ -184,6 +184,9 @@
         progress.candidate = candidate
         body_bytes = len(context.request.body)
         held_bytes = self._endpoint_memory.begin(record, body_bytes)
+        relay = progress.relay
+        resumed_after = relay.last_event_id
+        event_count, unforwarded_bytes = relay.event_count, relay.unforwarded_bytes
         outcome: AttemptOutcome | None = None
         try:
             result = self._sender.send(context, inputs, record, progress, trace)
@@ -201,6 +204,12 @@
             duration_s,
             candidate.load,
             result.detail,
+            StreamedPart(
+                resumed_after,
+                relay.last_event_id,
+                relay.event_count - event_count,
+                relay.unforwarded_bytes - unforwarded_bytes,
+            ),
         )
         self._recorder.record(context, record, result, duration_s, candidate)
         if result.outcome is not AttemptOutcome.NOT_SENT:
--- a/libs/gateway/sapphirehoist/gateway/relay.py
+++ b/libs/gateway/sapphirehoist/gateway/relay.py
@@ -38,6 +38,7 @@
 
     __slots__ = (
         "_decode_event_id",
+        "_discarded_bytes",
         "_exchange",
         "_partial",
         "event_count",
@@ -55,6 +56,7 @@
         self._partial = b""
         self.last_event_id = last_event_id
         self.event_count = 0
+        self._discarded_bytes = 0
 
     @property
     def is_started(self) -> bool:
@@ -66,6 +68,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._partial)
 
+    @property
+    def unforwarded_bytes(self) -> int:
+        """Return the number of bytes that were received and not forwarded."""
+        return self._discarded_bytes + len(self._partial)
+
     @property
     def has_oversized_partial(self) -> bool:
         """Return whether the incomplete event is too long to be one."""
@@ -73,6 +80,7 @@
 
     def discard_partial(self) -> None:
         """Discard the buffered part of an event whose endpoint failed."""
+        self._discarded_bytes += len(self._partial)
         self._partial = b""
 
     def forward(self, head: ResponseHead, chunk: bytes) -> int:
--- a/libs/gateway/sapphirehoist/gateway/trace.py
+++ b/libs/gateway/sapphirehoist/gateway/trace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.gateway.attempt_outcome import AttemptOutcome
@@ -10,6 +11,33 @@
 _logger = logging.getLogger("sapphirehoist.request")
 
 
+@dataclass(frozen=True, slots=True)
+class StreamedPart:
+    """Part of a stream that one attempt brought.
+
+    Attributes
+    ----------
+    resumed_after : str
+        Id of the event that the attempt was to go on after; empty for none.
+    last_event_id : str
+        Id of the last event that the caller has after the attempt.
+    event_count : int
+        Number of events that the attempt brought.
+    unforwarded_bytes : int
+        Number of bytes that the attempt brought and that were not forwarded.
+    """
+
+    resumed_after: str
+    last_event_id: str
+    event_count: int
+    unforwarded_bytes: int
+
+    def describe(self) -> str:
+        """Return a short description for the log."""
+        begin = f"after {self.resumed_after}: " if self.resumed_after else ""
+        return f"{begin}{self.event_count} events to {self.last_event_id}"
+
+
 class RequestTrace:
     """Collects the attempts, timings and outcome of a request for the log.
 
@@ -56,6 +84,7 @@
         "_attempts",
         "_clock",
         "_software_versions",
+        "_streamed_parts",
         "attempt_count",
         "config_version",
         "event_count",
@@ -78,6 +107,7 @@
         self._arrived_at = arrived_at
         self._attempts: list[str] = []
         self._software_versions: list[str] = []
+        self._streamed_parts: list[str] = []
         self.attempt_count = 0
         self.request_id = ""
         self.resumed_request_id = ""
@@ -106,11 +136,13 @@
         duration_s: float,
         load: float,
         detail: str,
+        streamed: StreamedPart,
     ) -> None:
         """Record the outcome of an attempt and log it immediately if it failed."""
         self.attempt_count += 1
         self._attempts.append(f"{endpoint} {outcome.value} {duration_s * 1000:.0f} ms")
         self._software_versions.append(software_version)
+        self._streamed_parts.append(streamed.describe())
         if outcome is AttemptOutcome.ANSWERED:
             return
         extra = {
@@ -126,6 +158,10 @@
             "elapsed_ms": round(self.elapsed_s() * 1000, 1),
             "fingerprint": self.fingerprint,
         }
+        if streamed.resumed_after or streamed.event_count or streamed.unforwarded_bytes:
+            extra["resumed_after"] = streamed.resumed_after
+            extra["last_event_id"] = streamed.last_event_id
+            extra["unforwarded_bytes"] = streamed.unforwarded_bytes
         if self.prompt_parts:
             extra["prompt_parts"] = self.prompt_parts
         _logger.info("attempt failed", extra=extra)
@@ -159,6 +195,7 @@
             extra["resumed_request_id"] = self.resumed_request_id
         if self.event_count:
             extra["software_versions"] = self._software_versions
+            extra["streamed"] = self._streamed_parts
         if self.forecast_s is not None:
             extra["forecast_ms"] = round(self.forecast_s * 1000, 1)
         if self.stages_duration_s is not None:
