Keep the position of a stream event by event, and in step with its caller

Cause: the relay did not know what its caller has. It took the id to go on after from the last block of one read, which may be a comment; a timer could end an attempt while an event was being written, and left a part of an event in the buffer.

StreamContinuity follows the stream event by event, over all its answers; each answer begins with an empty buffer, and the last of several ids of an event counts. Only reads are limited in time, and the time in which a caller accepts no bytes is no silence of its engine. Lines may end with CR LF or CR. CallCodec.decode_event_id is gone: the format is that of server-sent events.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -58,6 +58,7 @@
     select_entries,
 )
 from sapphirehoist.decisions.evacuations import EvacuatedZones, EvacuationState
+from sapphirehoist.decisions.event_stream import EventSplitter, is_event_stream
 from sapphirehoist.decisions.fleet_shares import FleetShares
 from sapphirehoist.decisions.forecast import CallerTimeouts, ForecastCorrection
 from sapphirehoist.decisions.memory_budget import (
@@ -112,6 +113,11 @@
     unreachable_work,
 )
 from sapphirehoist.decisions.stalled_streams import stall_timeout_s
+from sapphirehoist.decisions.stream_continuity import (
+    AdmittedEvents,
+    StreamContinuity,
+    parse_event_id,
+)
 from sapphirehoist.decisions.stream_origins import (
     StreamOrigin,
     StreamOrigins,
@@ -132,6 +138,7 @@
     "AdmissionQuery",
     "AdmitAll",
     "Admitted",
+    "AdmittedEvents",
     "Arrival",
     "AttemptFailure",
     "AttemptRequirements",
@@ -156,6 +163,7 @@
     "EntryVm",
     "EvacuatedZones",
     "EvacuationState",
+    "EventSplitter",
     "FleetShares",
     "ForecastCorrection",
     "GenerationPlacement",
@@ -200,6 +208,7 @@
     "StageEndpointPolicy",
     "StagePlaces",
     "StageWork",
+    "StreamContinuity",
     "StreamOrigin",
     "StreamOrigins",
     "TeamShares",
@@ -214,12 +223,14 @@
     "endpoint_subset",
     "holder_count",
     "infer_origin",
+    "is_event_stream",
     "is_request_trait",
     "judge_endpoint",
     "limit_share",
     "may_infer_origin",
     "most_capable",
     "next_vm_load",
+    "parse_event_id",
     "predict_starts",
     "rendezvous_score",
     "request_trait",
--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -61,6 +61,50 @@
     body: bytes = b""
 
 
+class _ReplyLimit:
+    """Limits the time to the first bytes of a reply, or to the first event of a stream.
+
+    Parameters
+    ----------
+    limit_s : float or None
+        The limit in seconds; None for no limit.
+    clock : Clock
+        Monotonic time.
+
+    Attributes
+    ----------
+    ends_at : float or None
+        Monotonic time at which the limit ends; None for no limit.
+    timeout : gevent.Timeout
+        Interrupts the attempt at that time, unless it is closed before.
+    """
+
+    __slots__ = ("_limit_s", "ends_at", "timeout")
+
+    def __init__(self, limit_s: float | None, clock: Clock) -> None:
+        self._limit_s = limit_s
+        self.ends_at = None if limit_s is None else clock.monotonic() + limit_s
+        self.timeout = gevent.Timeout(limit_s)
+
+    @property
+    def detail(self) -> str:
+        """Return why an attempt was given up at the limit."""
+        return f"nothing for {self._limit_s or 0.0:.2f} s"
+
+    def extend(self, duration_s: float) -> None:
+        """Let the limit end later."""
+        if self.ends_at is not None:
+            self.ends_at += duration_s
+
+    def start(self) -> None:
+        """Begin to limit the attempt."""
+        self.timeout.start()
+
+    def close(self) -> None:
+        """Interrupt the attempt no more."""
+        self.timeout.close()
+
+
 class AttemptSender:
     """Sends requests to endpoints, each attempt within its timeout.
 
@@ -130,7 +174,12 @@
     ) -> AttemptResult:
         """Send the request to one endpoint and read or relay its reply."""
         relay = progress.relay
-        outbound = self._outbound_request(context, inputs, record, relay.last_event_id)
+        outbound = self._outbound_request(
+            context,
+            inputs,
+            record,
+            relay.last_event_id or context.metadata.last_event_id,
+        )
         generation = context.metadata.generation
         token_count = 0
         if generation is not None:
@@ -142,9 +191,8 @@
             context, inputs, record.name
         )
         reply: EndpointResponse | NotSent | Lost | None = None
-        attempt_timeout_s = self._attempt_timeout_s(context, progress)
-        timeout = gevent.Timeout(attempt_timeout_s)
-        timeout.start()
+        limit = _ReplyLimit(self._attempt_timeout_s(context, progress), self._clock)
+        limit.start()
         try:
             reply = self._connections.call(
                 record.address,
@@ -165,16 +213,14 @@
             if isinstance(reply, Lost):
                 return AttemptResult(AttemptOutcome.LOST, reply.detail)
             return self._read_reply(
-                context, record, reply, inputs, progress, timeout, trace
+                context, record, reply, inputs, progress, limit, trace
             )
         except gevent.Timeout as exc:
-            if exc is not timeout:
+            if exc is not limit.timeout:
                 raise
-            detail = f"{record.address}: nothing for {attempt_timeout_s:.2f} s"
-            outcome = AttemptOutcome.BROKEN if relay.is_started else AttemptOutcome.LOST
-            return AttemptResult(outcome, detail, progress.streamed_head)
+            return _broken(progress, f"{record.address}: {limit.detail}")
         finally:
-            timeout.close()
+            limit.close()
             if isinstance(reply, EndpointResponse):
                 reply.close()
             self._endpoints.end_generation(record.name, token_count)
@@ -256,7 +302,7 @@
         reply: EndpointResponse,
         inputs: StageInputs | None,
         progress: RequestProgress,
-        timeout: gevent.Timeout,
+        limit: _ReplyLimit,
         trace: RequestTrace,
     ) -> AttemptResult:
         """Classify a reply from its head, then read its body or relay its stream."""
@@ -281,9 +327,11 @@
             reply.head.status, self._codec.filter_reply_headers(reply.head.headers)
         )
         if is_success and context.route.kind is RequestKind.STREAMING:
-            head = progress.streamed_head or caller_head
+            # From here on only reads are limited: an attempt must not be given up while
+            # its bytes are written, when it is not known what the caller has.
+            limit.close()
             return self._relay_stream(
-                context, record, reply, inputs, progress, head, timeout, trace
+                context, record, reply, inputs, progress, caller_head, limit, trace
             )
         buffer = progress.response_buffer
         if buffer is not None:
@@ -304,60 +352,63 @@
         reply: EndpointResponse,
         inputs: StageInputs | None,
         progress: RequestProgress,
-        head: ResponseHead,
-        timeout: gevent.Timeout,
+        caller_head: ResponseHead,
+        limit: _ReplyLimit,
         trace: RequestTrace,
     ) -> AttemptResult:
         """Forward the events of a streamed reply to the caller."""
         relay = progress.relay
+        # A stream that goes on keeps the head of its first endpoint.
+        head = progress.streamed_head or caller_head
+        refusal = relay.begin_answer(reply.head)
         last_event_at: float | None = None
         gaps_s: list[float] = []
         # Stated by the head of this reply.
         slowdown = self._endpoints.loads.slowdown(record.name)
-        while True:
-            chunk = self._read_stream_block(context, reply, progress, last_event_at)
-            if relay.has_oversized_partial:
-                chunk = TruncatedBody("an event without end")
+        while not refusal:
+            chunk = self._read_stream_block(
+                context, reply, progress, last_event_at, limit
+            )
             if isinstance(chunk, TruncatedBody):
-                relay.discard_partial()
-                outcome = (
-                    AttemptOutcome.BROKEN if relay.is_started else AttemptOutcome.LOST
-                )
-                return AttemptResult(outcome, chunk.detail, head)
+                return _broken(progress, chunk.detail, head)
             if not chunk:
+                refusal = relay.end_answer(head)
                 break
             received_at = self._clock.monotonic()
-            event_count = relay.forward(head, chunk)
-            if event_count:
+            admitted = relay.forward(head, chunk)
+            refusal = admitted.refusal
+            # The time in which the caller accepts no bytes is no silence of the engine.
+            write_s = self._clock.monotonic() - received_at
+            if admitted.event_count:
                 if last_event_at is None:
-                    self._record_first_event(context, progress)
-                    self._crash_quarantine.record_start(context.shared_prompt_parts)
+                    self._record_first_event(context, record, inputs, progress, trace)
                 else:
-                    gaps_s.append((received_at - last_event_at) / event_count)
-                if progress.software_version is None:
-                    self._bind_to_first_endpoint(context, record, progress)
-                last_event_at = received_at
-                self._end_prefill(record.name, progress)
+                    gap_s = (received_at - last_event_at) / admitted.event_count
+                    gaps_s.append(gap_s)
+                last_event_at = received_at + write_s
                 trace.event_count = relay.event_count
-                if trace.first_event_s is None:
-                    trace.first_event_s = trace.elapsed_s()
-                timeout.close()
-                if inputs is not None and not inputs.is_released:
-                    # The first event shows that the engine has read its inputs.
-                    inputs.release()
-        if relay.has_partial:
-            relay.discard_partial()
-            outcome = AttemptOutcome.BROKEN if relay.is_started else AttemptOutcome.LOST
-            return AttemptResult(
-                outcome, "the stream ended in the middle of an event", head
-            )
+            elif last_event_at is not None:
+                last_event_at += write_s
+            else:
+                limit.extend(write_s)
+        if refusal:
+            reply.discard()
+            return _broken(progress, f"{record.address}: {refusal}", head)
         self._engine_paces.record_stream(record, gaps_s, slowdown)
         return AttemptResult(AttemptOutcome.ANSWERED, "", head)
 
     def _record_first_event(
-        self, context: RequestContext, progress: RequestProgress
+        self,
+        context: RequestContext,
+        record: EndpointRecord,
+        inputs: StageInputs | None,
+        progress: RequestProgress,
+        trace: RequestTrace,
     ) -> None:
-        """Learn from the first event of a stream that was not resumed."""
+        """Learn from the first event of an attempt, which shows that it is processed.
+
+        The time to a first event that goes on with a stream is not typical.
+        """
         is_resumed = progress.streamed_head or context.metadata.last_event_id
         if progress.candidate is not None and not is_resumed:
             self._chooser.record_first_event(
@@ -365,6 +416,15 @@
                 progress.candidate,
                 self._clock.monotonic() - progress.attempt_started_at,
             )
+        self._crash_quarantine.record_start(context.shared_prompt_parts)
+        if progress.software_version is None:
+            self._bind_to_first_endpoint(context, record, progress)
+        self._end_prefill(record.name, progress)
+        if trace.first_event_s is None:
+            trace.first_event_s = trace.elapsed_s()
+        if inputs is not None and not inputs.is_released:
+            # The first event shows that the engine has read its inputs.
+            inputs.release()
 
     def _bind_to_first_endpoint(
         self, context: RequestContext, record: EndpointRecord, progress: RequestProgress
@@ -385,18 +445,19 @@
         reply: EndpointResponse,
         progress: RequestProgress,
         last_event_at: float | None,
+        limit: _ReplyLimit,
     ) -> bytes | TruncatedBody:
         """Read a block of a stream; report one that has stalled as truncated.
 
-        A stream has stalled if no event was completed for too long, even if single
-        bytes arrive, and if another engine can continue it.
+        A stream has stalled if its first event takes longer than `limit`, or if no
+        event was completed for too long, even if single bytes arrive, and another
+        engine can continue it.
         """
+        if last_event_at is None:
+            first_block = self._read_block(reply, limit.ends_at)
+            return TruncatedBody(limit.detail) if first_block is None else first_block
         caller_timeout_s = context.route.first_event_timeout_s
-        if (
-            last_event_at is None
-            or caller_timeout_s is None
-            or not context.route.is_idempotent
-        ):
+        if caller_timeout_s is None or not context.route.is_idempotent:
             return reply.read_block()
         while True:
             now = self._clock.monotonic()
@@ -409,20 +470,32 @@
             if now - last_event_at >= stall_s and may_move:
                 return TruncatedBody(f"no event for {now - last_event_at:.2f} s")
             wait_s = last_event_at + stall_s - now
-            timeout = gevent.Timeout(wait_s if wait_s > 0 else stall_s)
-            try:
-                with timeout:
-                    return reply.read_block()
-            except gevent.Timeout as exc:
-                if exc is not timeout:
-                    raise
+            ends_at = now + (wait_s if wait_s > 0 else stall_s)
+            block = self._read_block(reply, ends_at)
+            if block is not None:
+                return block
+
+    def _read_block(
+        self, reply: EndpointResponse, ends_at: float | None
+    ) -> bytes | TruncatedBody | None:
+        """Read a block; return None if none arrives by the monotonic time `ends_at`."""
+        if ends_at is None:
+            return reply.read_block()
+        timeout = gevent.Timeout(max(0.0, ends_at - self._clock.monotonic()))
+        try:
+            with timeout:
+                return reply.read_block()
+        except gevent.Timeout as exc:
+            if exc is not timeout:
+                raise
+            return None
 
     def _may_retry(self, context: RequestContext, progress: RequestProgress) -> bool:
         """Return whether another endpoint may be tried after the present attempt."""
         service = context.service
         return (
             context.route.is_idempotent
-            and progress.is_version_confirmed
+            and progress.may_go_on
             and progress.send_count + 1 < context.route.max_attempts
             and bool(
                 self._endpoints.candidates(
@@ -436,6 +509,15 @@
         )
 
 
+def _broken(
+    progress: RequestProgress, detail: str, head: ResponseHead | None = None
+) -> AttemptResult:
+    """Return the result of an attempt whose reply is not whole."""
+    is_started = progress.relay.is_started
+    outcome = AttemptOutcome.BROKEN if is_started else AttemptOutcome.LOST
+    return AttemptResult(outcome, detail, progress.streamed_head or head)
+
+
 def _engine_priority(context: RequestContext) -> int | None:
     """Return the priority at a model engine; None for other services.
 
--- a/libs/gateway/sapphirehoist/gateway/codec.py
+++ b/libs/gateway/sapphirehoist/gateway/codec.py
@@ -283,7 +283,3 @@
     @abstractmethod
     def encode_release_call(self, handles: Sequence[str]) -> OutboundRequest:
         """Encode a call that releases results, which must all be of one endpoint."""
-
-    @abstractmethod
-    def decode_event_id(self, event: bytes) -> str:
-        """Decode the id of a stream event; empty if it has none."""
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -125,7 +125,7 @@
             error = self._checks.check_attempt(context, progress)
             candidate = (
                 None
-                if error or not progress.is_version_confirmed
+                if error or not progress.may_go_on
                 else self._chooser.choose(
                     context, inputs, progress.tried_endpoints, progress.software_version
                 )
--- a/libs/gateway/sapphirehoist/gateway/relay.py
+++ b/libs/gateway/sapphirehoist/gateway/relay.py
@@ -2,61 +2,31 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
+from sapphirehoist.decisions import AdmittedEvents, StreamContinuity
 from sapphirehoist.http1 import Exchange, ResponseHead
 
-_EVENT_SEPARATOR = b"\n\n"
-_COMMENT_START = b":"
-# Longer than any event; bytes without an event separator may come without end.
-_MAX_PARTIAL_BYTES = 2**20
-
 
 class EventRelay:
     """Forwards the events of one stream to its caller.
 
     Only complete events are forwarded, so that the stream can be resumed at another
-    endpoint after the last one.
+    endpoint after the last one, and only those that `StreamContinuity` admits.
 
     Parameters
     ----------
     exchange : Exchange
         Sends the response to the caller.
-    decode_event_id : callable
-        Returns the id of an event; empty where it has none.
     last_event_id : str
         Id of the last event that the caller has already received; empty for none.
-
-    Attributes
-    ----------
-    last_event_id : str
-        Id of the last event that was forwarded, or that the caller had received before
-        this request.
-    event_count : int
-        Number of events that were forwarded.
     """
 
-    __slots__ = (
-        "_decode_event_id",
-        "_discarded_bytes",
-        "_exchange",
-        "_partial",
-        "event_count",
-        "last_event_id",
-    )
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        decode_event_id: Callable[[bytes], str],
-        last_event_id: str,
-    ) -> None:
+    __slots__ = ("_continuity", "_exchange", "_received_bytes", "_sent_bytes")
+
+    def __init__(self, exchange: Exchange, last_event_id: str) -> None:
         self._exchange = exchange
-        self._decode_event_id = decode_event_id
-        self._partial = b""
-        self.last_event_id = last_event_id
-        self.event_count = 0
-        self._discarded_bytes = 0
+        self._continuity = StreamContinuity(last_event_id)
+        self._received_bytes = 0
+        self._sent_bytes = 0
 
     @property
     def is_started(self) -> bool:
@@ -64,27 +34,42 @@
         return self._exchange.has_begun
 
     @property
-    def has_partial(self) -> bool:
-        """Return whether an incomplete event is buffered."""
-        return bool(self._partial)
+    def may_go_on(self) -> bool:
+        """Return whether another endpoint may continue the stream."""
+        return self._continuity.may_go_on
+
+    @property
+    def last_event_id(self) -> str:
+        """Return the id of the last event that the caller has; empty for none."""
+        return self._continuity.last_event_id
+
+    @property
+    def event_count(self) -> int:
+        """Return the number of events that were forwarded."""
+        return self._continuity.event_count
 
     @property
     def unforwarded_bytes(self) -> int:
         """Return the number of bytes that were received and not forwarded."""
-        return self._discarded_bytes + len(self._partial)
+        return self._received_bytes - self._sent_bytes
 
-    @property
-    def has_oversized_partial(self) -> bool:
-        """Return whether the incomplete event is too long to be one."""
-        return len(self._partial) > _MAX_PARTIAL_BYTES
+    def begin_answer(self, head: ResponseHead) -> str:
+        """Begin to read an endpoint's answer.
 
-    def discard_partial(self) -> None:
-        """Discard the buffered part of an event whose endpoint failed."""
-        self._discarded_bytes += len(self._partial)
-        self._partial = b""
+        Parameters
+        ----------
+        head : ResponseHead
+            Head of the answer as the endpoint sent it.
 
-    def forward(self, head: ResponseHead, chunk: bytes) -> int:
-        """Forward the events that `chunk` completes and return their number.
+        Returns
+        -------
+        str
+            Why the answer cannot continue the stream; empty if it may.
+        """
+        return self._continuity.begin_answer(head.headers.get("content-type"))
+
+    def forward(self, head: ResponseHead, chunk: bytes) -> AdmittedEvents:
+        """Forward the events that `chunk` completes, if they continue the stream.
 
         Comments are forwarded too, but are not counted as events.
 
@@ -95,32 +80,28 @@
         chunk : bytes
             Bytes of the stream from an endpoint.
         """
-        data = self._partial + chunk
-        completed_end = data.rfind(_EVENT_SEPARATOR) + len(_EVENT_SEPARATOR)
-        if completed_end < len(_EVENT_SEPARATOR):
-            self._partial = data
-            return 0
-        whole_events, self._partial = data[:completed_end], data[completed_end:]
-        completed_count = sum(
-            not block.startswith(_COMMENT_START)
-            for block in whole_events.split(_EVENT_SEPARATOR)[:-1]
-        )
-        previous_separator = whole_events[:-2].rfind(_EVENT_SEPARATOR)
-        last_event = (
-            whole_events[previous_separator + len(_EVENT_SEPARATOR) :]
-            if previous_separator >= 0
-            else whole_events
-        )
-        self.last_event_id = self._decode_event_id(last_event) or self.last_event_id
-        self.event_count += completed_count
-        if self._exchange.has_begun:
-            self._exchange.send(whole_events)
-        else:
-            self._exchange.begin(head, None, whole_events)
-        return completed_count
+        self._received_bytes += len(chunk)
+        admitted = self._continuity.admit(chunk)
+        self._send(head, admitted.data)
+        return admitted
+
+    def end_answer(self, head: ResponseHead) -> str:
+        """Forward the rest of an answer; return why it is not whole, if it is not."""
+        rest = self._continuity.end_answer()
+        self._send(head, rest.data)
+        return rest.refusal
 
     def finish(self, head: ResponseHead) -> None:
         """Complete the response; send its head first if no event was forwarded."""
         if not self._exchange.has_begun:
             self._exchange.begin(head, None)
         self._exchange.finish()
+
+    def _send(self, head: ResponseHead, data: bytes) -> None:
+        if not data:
+            return
+        self._sent_bytes += len(data)
+        if self._exchange.has_begun:
+            self._exchange.send(data)
+        else:
+            self._exchange.begin(head, None, data)
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -222,3 +222,8 @@
         self.is_version_confirmed = True
         self.streamed_head: ResponseHead | None = None
         self.pending_prefill_tokens = 0
+
+    @property
+    def may_go_on(self) -> bool:
+        """Return whether another endpoint may be tried, where a stream has begun."""
+        return self.is_version_confirmed
