Join only what continues a stream that has begun

A stream had begun and broke off; the next engine answered with 200 and a text, with no event, or with events that began again. Cause: whatever had the status, the seal and the id of the request was joined; nothing checked that it continues the stream.

Class of fault: a continuation that is accepted by its envelope. StreamContinuity now decides, in one place and for each attempt over any path, also through another VM: a later answer has to be an event stream with at least one event, whose ids are numbers that rise from the last one forwarded, without a gap where all before were consecutive. Other answers count as lost and are discarded unread. Behind an event without an id no other engine goes on. What a caller takes up with Last-Event-Id is checked in the same way; an id that is no number is refused with 400.

--- a/libs/decisions/sapphirehoist/decisions/stream_continuity.py
+++ b/libs/decisions/sapphirehoist/decisions/stream_continuity.py
@@ -13,6 +13,7 @@
 from sapphirehoist.decisions.event_stream import (
     EventBlock,
     EventSplitter,
+    is_event_stream,
 )
 
 # Longer ids have no meaning as numbers.
@@ -55,13 +56,18 @@
         Id of the last event that the caller has received before; empty for none.
     final_event : str, optional
         Name of the event that ends a stream and needs no id.
+    may_skip_ids : bool, optional
+        Whether an id may be followed by any larger one. By default, a continuation
+        may not leave out ids where all before were consecutive.
 
     Attributes
     ----------
     last_event_id : str
         Id of the last event that the caller has, here or before; empty for none.
     event_count : int
-        Number of admitted events.
+        Number of admitted events, without the final one.
+    has_ended : bool
+        Whether the final event was admitted.
     first_event_id : str
         Id of the first event of the present answer; empty for none yet.
     """
@@ -75,14 +81,19 @@
         "_is_consecutive",
         "_is_continuation",
         "_is_last_event_identified",
+        "_may_skip_ids",
         "_splitter",
         "event_count",
         "first_event_id",
+        "has_ended",
         "last_event_id",
     )
 
-    def __init__(self, last_event_id: str, final_event: str = "") -> None:
+    def __init__(
+        self, last_event_id: str, final_event: str = "", may_skip_ids: bool = False
+    ) -> None:
         self._final_event = final_event.encode()
+        self._may_skip_ids = may_skip_ids
         self._splitter = EventSplitter()
         self._held = b""
         self._answer_event_count = 0
@@ -93,6 +104,7 @@
         # Whether each id was one more than the one before; None before the first one.
         self._is_consecutive: bool | None = None
         self.event_count = 0
+        self.has_ended = False
         self.first_event_id = ""
         self.last_event_id = last_event_id
 
@@ -121,12 +133,21 @@
         self._answer_event_count = 0
         self.first_event_id = ""
         self._is_continuation = bool(self.last_event_id) or self._has_admitted_bytes
+        if not self._is_continuation:
+            return ""
+        if not self.may_go_on:
+            return "the stream has no known position"
+        if content_type and not is_event_stream(content_type):
+            return f"not an event stream but {content_type[:_MAX_LOGGED_CHARACTERS]}"
         return ""
 
     def admit(self, chunk: bytes) -> AdmittedEvents:
         """Return the whole blocks that `chunk` completes and that may be forwarded."""
         admitted, event_count = bytearray(), 0
         for block in self._splitter.feed(chunk):
+            refusal = self._check(block) if self._is_continuation else ""
+            if refusal:
+                return AdmittedEvents(bytes(admitted), event_count, refusal)
             if block.is_event:
                 event_count += 1
                 self._answer_event_count += 1
@@ -138,6 +159,8 @@
             admitted += self._held + block.data
             self._held = b""
             self._has_admitted_bytes = True
+            if self.has_ended:
+                break
         is_endless = self._splitter.is_oversized or len(self._held) > _MAX_HELD_BYTES
         refusal = "an event without end" if is_endless else ""
         return AdmittedEvents(bytes(admitted), event_count, refusal)
@@ -146,6 +169,8 @@
         """Return the rest of an answer that has ended, or why it is not whole."""
         if self._splitter.is_within_block:
             return AdmittedEvents(refusal="the stream ended in the middle of an event")
+        if self._is_continuation and not self._answer_event_count:
+            return AdmittedEvents(refusal="no event follows the last one")
         rest = self._splitter.partial
         self.discard_unadmitted()
         return AdmittedEvents(rest)
@@ -155,14 +180,35 @@
         self._splitter = EventSplitter()
         self._held = b""
 
+    def _check(self, block: EventBlock) -> str:
+        """Return why `block` cannot continue the stream; empty if it does."""
+        if block.is_foreign:
+            return "text that is no event"
+        if not block.is_event or self._is_final(block):
+            return ""
+        if not block.ids:
+            return "an event without an id"
+        previous = parse_event_id(self.last_event_id)
+        may_skip = self._answer_event_count or self._may_skip_ids
+        is_gap_checked = bool(self._is_consecutive) and not may_skip
+        for event_id in block.ids:
+            number = parse_event_id(event_id)
+            is_gap = is_gap_checked and number > previous + 1
+            if number <= previous or is_gap:
+                text = event_id[:_MAX_LOGGED_CHARACTERS]
+                return f"event {text!r} after {self.last_event_id!r}"
+            previous, is_gap_checked = number, False
+        return ""
+
     def _is_final(self, block: EventBlock) -> bool:
         return bool(self._final_event) and block.name == self._final_event
 
     def _record_event(self, block: EventBlock) -> None:
         """Record the position of the stream behind an admitted event."""
-        self.event_count += 1
         if self._is_final(block):
+            self.has_ended = True
             return
+        self.event_count += 1
         self._is_last_event_identified = bool(block.ids)
         for event_id in block.ids:
             number = parse_event_id(event_id)
--- a/libs/gateway/sapphirehoist/gateway/request_checks.py
+++ b/libs/gateway/sapphirehoist/gateway/request_checks.py
@@ -5,7 +5,11 @@
 from collections.abc import Iterable
 
 from sapphirehoist.clock import Clock
-from sapphirehoist.decisions import SharedRetryBudget, is_request_trait
+from sapphirehoist.decisions import (
+    SharedRetryBudget,
+    is_request_trait,
+    parse_event_id,
+)
 from sapphirehoist.gateway.candidates import EndpointCandidates
 from sapphirehoist.gateway.crash_quarantine_sync import CrashQuarantineSync
 from sapphirehoist.gateway.error_response import ErrorReason, ErrorResponse
@@ -95,6 +99,10 @@
         """
         if not context.metadata.last_event_id or not context.is_resumable_stream:
             return None
+        if parse_event_id(context.metadata.last_event_id) < 0:
+            return ErrorResponse(
+                ErrorReason.BAD_REQUEST, "the last event id must be a whole number"
+            )
         service = context.service.name
         origin = self._stream_origins.find(context.metadata.stream_id, service)
         if origin is None or origin.service != service:
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -226,4 +226,5 @@
     @property
     def may_go_on(self) -> bool:
         """Return whether another endpoint may be tried, where a stream has begun."""
-        return self.is_version_confirmed
+        may_be_joined = not self.relay.is_started or self.relay.may_go_on
+        return self.is_version_confirmed and may_be_joined
