Join only what continues a stream in the daemon too

The daemon's own path had the same fault: it reopened a broken stream at its engine and relayed any 200 that came back, from the begin of the text or an error page. A text with 'event: done' in it ended a stream as complete.

Its relay now has a StreamContinuity, whose ids are offsets in the text and which the final event ends; the client reads events with EventSplitter and refuses an answer for another stream. What does not continue a stream counts as a broken connection: the caller gets 'ended' with connection_lost. The engine stand-in has a switch for such answers.

--- a/libs/endpoints/sapphirehoist/endpoints/__init__.py
+++ b/libs/endpoints/sapphirehoist/endpoints/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sapphirehoist.endpoints.client import (
+    FINAL_EVENT,
     Answered,
     CallOutcome,
     EndpointClient,
@@ -21,6 +22,7 @@
 from sapphirehoist.endpoints.vm_list_poller import VmListPoller
 
 __all__ = [
+    "FINAL_EVENT",
     "Answered",
     "CallOutcome",
     "EndpointClient",
--- a/libs/endpoints/sapphirehoist/endpoints/client.py
+++ b/libs/endpoints/sapphirehoist/endpoints/client.py
@@ -13,6 +13,9 @@
 
 from sapphirehoist.configuration import Endpoint
 
+# Name of the event with which an engine ends a complete stream.
+FINAL_EVENT = "done"
+
 
 @dataclass(frozen=True, slots=True)
 class StageCall:
@@ -139,18 +142,22 @@
     ----------
     stream_id : str
         The engine's id of the stream, with which the stream can be resumed.
+    content_type : str
+        Content-Type of the response; empty if it states none.
     report : EndpointReport
         State that the engine reported when it opened the stream.
     """
 
     stream_id: str
+    content_type: str
     report: EndpointReport
 
     @abstractmethod
     def events(self) -> Iterator[bytes | StreamBroken]:
         """Yield blocks of complete events; a `StreamBroken`, if any, comes last.
 
-        Events that arrive together are yielded as one block, without parsing.
+        Events that arrive together are yielded as one block, unchanged. Nothing is
+        yielded after the block with the final event.
         """
 
     @abstractmethod
--- a/libs/endpoints/sapphirehoist/endpoints/http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -17,7 +17,9 @@
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.configuration import Endpoint
+from sapphirehoist.decisions import EventSplitter
 from sapphirehoist.endpoints.client import (
+    FINAL_EVENT,
     Answered,
     CallOutcome,
     EndpointClient,
@@ -40,8 +42,6 @@
 _MAX_DIGITS = 15
 _STATUS_OK = 200
 _BUSY_STATUSES = (429, 503)
-_EVENT_END = b"\n\n"
-_DONE_EVENT = b"event: done"
 
 
 class _Http10Connection(HTTPConnection):
@@ -148,6 +148,11 @@
         resp = self._send_request(
             "GET", url, {}, None, resume.timeout_s, self._stream_pool_manager
         )
+        if isinstance(resp, urllib3.BaseHTTPResponse):
+            stream_id = resp.headers.get("X-Stream-Id", resume.stream_id)
+            if stream_id != resume.stream_id:
+                resp.close()
+                return Lost(f"{endpoint.name}: the answer is for stream {stream_id!r}")
         return self._build_stream(endpoint, resp, resume.timeout_s)
 
     def cancel(self, endpoint: Endpoint, request_id: str) -> None:
@@ -221,7 +226,15 @@
         Longest time until the end of the stream, in seconds.
     """
 
-    __slots__ = ("_clock", "_deadline", "_endpoint_name", "resp", "report", "stream_id")
+    __slots__ = (
+        "_clock",
+        "_deadline",
+        "_endpoint_name",
+        "content_type",
+        "report",
+        "resp",
+        "stream_id",
+    )
 
     def __init__(
         self,
@@ -234,27 +247,25 @@
         self._deadline = clock.monotonic() + timeout_s
         self.resp = resp
         self.stream_id = resp.headers.get("X-Stream-Id", "")
+        self.content_type = resp.headers.get("Content-Type", "")
         self.report = _parse_report(resp)
         self._endpoint_name = endpoint_name
 
     def events(self) -> Iterator[bytes | StreamBroken]:
         """Yield blocks of complete events; a `StreamBroken`, if any, comes last."""
-        partial = b""
+        splitter = EventSplitter()
         try:
             while block := self._read_block():
                 if isinstance(block, StreamBroken):
                     yield block
                     return
-                block = partial + block
-                partial = b""
-                if not block.endswith(_EVENT_END):
-                    end = block.rfind(_EVENT_END) + len(_EVENT_END)
-                    if end < len(_EVENT_END):
-                        partial = block
-                        continue
-                    block, partial = block[:end], block[end:]
-                yield block
-                if _DONE_EVENT in block:
+                events = splitter.feed(block)
+                if events:
+                    yield b"".join(event.data for event in events)
+                if any(event.name == FINAL_EVENT.encode() for event in events):
+                    return
+                if splitter.is_oversized:
+                    yield StreamBroken(f"{self._endpoint_name}: an event without end")
                     return
         except HTTPError as exc:
             yield StreamBroken(f"{self._endpoint_name}: {exc}")
--- a/libs/endpoints/sapphirehoist/endpoints/tests/test_http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/tests/test_http.py
@@ -20,6 +20,7 @@
     StageCall,
     Stream,
     StreamBroken,
+    StreamResumeCall,
 )
 
 CALL = StageCall("request-2", "book", 1, "team", b"body", timeout_s=2.0)
@@ -149,6 +150,26 @@
         blocks = list(self.open_stream(client, scripted).events())
         assert isinstance(blocks[-1], StreamBroken)
 
+    def test_name_of_the_final_event_in_a_text_does_not_end_the_stream(
+        self, client: HttpEndpointClient, scripted: ScriptedEndpoint
+    ) -> None:
+        """Guards against a stream that ends as complete before its last event."""
+        event = b'id: 1\ndata: "event: done"\n\n'
+        scripted.replies = [f"HTTP/1.1 200 OK\r\n{IDS}\r\n".encode() + event]
+        stream = client.open_stream(make_endpoint(scripted), CALL)
+        assert isinstance(stream, Stream)
+        blocks = list(stream.events())
+        assert blocks[0] == event
+        assert isinstance(blocks[-1], StreamBroken)
+
+    def test_answer_for_another_stream_does_not_resume_one(
+        self, client: HttpEndpointClient, scripted: ScriptedEndpoint
+    ) -> None:
+        headers = "X-Stream-Id: other\r\nContent-Type: text/event-stream\r\n"
+        scripted.replies = [f"HTTP/1.1 200 OK\r\n{headers}\r\n".encode()]
+        resume = StreamResumeCall("stream-1", 5, 2.0)
+        assert isinstance(client.resume_stream(make_endpoint(scripted), resume), Lost)
+
     def test_late_refusal_does_not_refuse_a_stream(
         self, client: HttpEndpointClient, scripted: ScriptedEndpoint
     ) -> None:
--- a/libs/pipeline/sapphirehoist/pipeline/streams.py
+++ b/libs/pipeline/sapphirehoist/pipeline/streams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import re
+import logging
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import ClassVar
@@ -12,7 +12,9 @@
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.configuration import ClassOfWork, Endpoint
+from sapphirehoist.decisions import StreamContinuity
 from sapphirehoist.endpoints import (
+    FINAL_EVENT,
     EndpointClient,
     Stream,
     StreamBroken,
@@ -33,9 +35,8 @@
 _TAKEOVER_TIMEOUT_S = 1.0
 _MAX_RECONNECTS = 2
 _CALLER_GONE_DETAIL = "the caller went away"
-_EVENT_START = b"id: "
-_NEXT_EVENT_START = b"\nid: "
-_EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
+
+_logger = logging.getLogger(__name__)
 
 
 class StreamTakeover(PeerMessage, frozen=True, array_like=True):
@@ -91,15 +92,10 @@
         The request that opened the stream.
     endpoint, stream : Endpoint, Stream
         The engine and its stream; `stream` is replaced on a reconnect.
-    offset : int
-        Offset after the last relayed event, in bytes of text; current only after
-        `update_offset`.
+    continuity : StreamContinuity
+        Verifies what the engine sends; ids are offsets, in bytes of text.
     deadline : float
         Monotonic time of the request's deadline, in seconds.
-    tokens : int
-        Number of tokens relayed.
-    last_block : bytes
-        Last relayed block that starts with an event id.
     is_complete : bool
         Whether the engine ended the stream normally.
     is_taken_over : bool
@@ -109,18 +105,28 @@
     request_id: str
     endpoint: Endpoint
     stream: Stream
-    offset: int
+    continuity: StreamContinuity
     deadline: float
-    tokens: int = 0
-    last_block: bytes = b""
     is_complete: bool = False
     is_taken_over: bool = False
 
-    def update_offset(self) -> None:
-        """Set `offset` to the id of the last relayed event, the offset after it."""
-        event_ids = _EVENT_ID.findall(self.last_block)
-        if event_ids:
-            self.offset = int(event_ids[-1])
+    @classmethod
+    def from_offset(
+        cls,
+        request_id: str,
+        endpoint: Endpoint,
+        stream: Stream,
+        offset: int,
+        deadline: float,
+    ) -> _StreamRelay:
+        """Return the relay of a stream whose caller has the text before `offset`."""
+        continuity = StreamContinuity(str(offset), FINAL_EVENT, may_skip_ids=True)
+        return cls(request_id, endpoint, stream, continuity, deadline)
+
+    @property
+    def offset(self) -> int:
+        """Return the offset after the last relayed event, in bytes of text."""
+        return int(self.continuity.last_event_id)
 
 
 class StreamRunner:
@@ -204,7 +210,7 @@
                 self._runner.finish(req, result)
         if not isinstance(result, StageStream):
             return result
-        relay = _StreamRelay(
+        relay = _StreamRelay.from_offset(
             req.request_id, result.endpoint, result.stream, 0, req.deadline
         )
         return OpenedStream(req.request_id, self._relay_opened(req, result, relay))
@@ -237,7 +243,9 @@
         if not isinstance(stream, Stream):
             return Failed(Reason.ENDPOINT_FAILED, stream.detail)
         deadline = self._clock.monotonic() + remaining_s
-        relay = _StreamRelay(token.request_id, endpoint, stream, offset, deadline)
+        relay = _StreamRelay.from_offset(
+            token.request_id, endpoint, stream, offset, deadline
+        )
         self._metrics.count("streams_resumed_total", work=class_of_work.name)
         return OpenedStream(token.request_id, self._relay_resumed(token, relay))
 
@@ -270,9 +278,13 @@
         finally:
             duration_s = self._clock.monotonic() - started_at
             stage = req.pipeline.stages[-1]
-            relay.update_offset()
             self._stages.record_stream_end(
-                req, stage, stage_stream, duration_s, relay.offset, relay.tokens
+                req,
+                stage,
+                stage_stream,
+                duration_s,
+                relay.offset,
+                relay.continuity.event_count,
             )
             self._runner.finish(req, outcome)
             self._release(relay)
@@ -294,23 +306,34 @@
     def _relay_events(self, relay: _StreamRelay) -> Iterator[StreamBlock | StreamEnd]:
         """Yield the engine's events, resuming a broken stream after its last event."""
         for _ in range(1 + _MAX_RECONNECTS):
-            broken = None
-            for item in relay.stream.events():
+            broken = relay.continuity.begin_answer(relay.stream.content_type)
+            for item in () if broken else relay.stream.events():
                 if isinstance(item, StreamBroken):
-                    broken = item
+                    broken = item.detail
                     break
-                if item.startswith(_EVENT_START):
-                    relay.last_block = item
-                    relay.tokens += 1 + item.count(_NEXT_EVENT_START)
-                yield StreamBlock(item)
+                admitted = relay.continuity.admit(item)
+                if admitted.data:
+                    yield StreamBlock(admitted.data)
+                if relay.continuity.has_ended:
+                    relay.is_complete = True
+                    yield StreamEnd(Done(b""))
+                    return
                 if self._clock.monotonic() >= relay.deadline:
                     yield StreamEnd(Failed(Reason.DEADLINE, "the deadline passed"))
                     return
-            if broken is None:
-                relay.is_complete = True
-                yield StreamEnd(Done(b""))
-                return
+                if admitted.refusal:
+                    broken = admitted.refusal
+                    break
             self._metrics.count("streams_broken_total")
+            _logger.info(
+                "stream broken",
+                extra={
+                    "request_id": relay.request_id,
+                    "endpoint": relay.endpoint.name,
+                    "offset": relay.offset,
+                    "detail": broken,
+                },
+            )
             if not self._reconnect(relay):
                 break
         yield StreamEnd(Failed(Reason.CONNECTION_LOST, "the engine's stream broke"))
@@ -320,7 +343,6 @@
         remaining_s = relay.deadline - self._clock.monotonic()
         if remaining_s <= 0:
             return False
-        relay.update_offset()
         resume = StreamResumeCall(relay.stream.stream_id, relay.offset, remaining_s)
         stream = self._client.resume_stream(relay.endpoint, resume)
         if not isinstance(stream, Stream):
--- a/libs/testing/sapphirehoist/standins/engine.py
+++ b/libs/testing/sapphirehoist/standins/engine.py
@@ -70,7 +70,9 @@
     ``leaving`` (bool: refuse calls as a leaving endpoint does), ``incarnation`` (int),
     ``drop`` (bool: close connections without a response), ``load_lag_s`` (float: delay
     of load reports), ``wrong_id`` (bool: respond for another request), ``break_after``
-    (int: close each stream once when that many tokens are produced), ``events_lag_s``
+    (int: close each stream once when that many tokens are produced), ``resume_as``
+    (str: resume streams with a ``text``, from their ``begin`` or with ``nothing``),
+    ``events_lag_s``
     (float: delay of cache events) and ``events_gap`` (int: every n-th cache event is
     lost).
 
@@ -104,6 +106,7 @@
         self._drop = False
         self._wrong_id = False
         self._break_after = 0
+        self._resume_as = ""
         self._load_lag_s = 0.0
         self._reported_load = 0
         self._load = 0
@@ -202,7 +205,15 @@
         headers = {
             **self._response_headers(job.stage, stream_id),
             "X-Stream-Id": stream_id,
+            "Content-Type": "text/event-stream",
         }
+        if self._resume_as == "text":
+            headers["Content-Type"] = "text/plain"
+            return HTTPResponse("upstream error\n\n", 200, headers)
+        if self._resume_as == "nothing":
+            return HTTPResponse("", 200, headers)
+        if self._resume_as == "begin":
+            offset = 0
         return HTTPResponse(self._stream_events(job, offset), 200, headers)
 
     def _stream_events(self, job: _Job, offset: int) -> Iterator[bytes]:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -115,6 +115,20 @@
     assert response.text == compute_expected_text(LONG_PROMPT)
 
 
+@pytest.mark.parametrize("resume_as", ["text", "begin", "nothing"])
+def test_answer_that_does_not_continue_the_stream_is_not_joined_to_it(
+    deployment: Deployment, resume_as: str
+) -> None:
+    for name in ("engine-1", "engine-2"):
+        url = deployment.endpoints[name].url
+        post_control(url, break_after=7, resume_as=resume_as)
+    response = make_caller(deployment, "entry-1").stream("quick", LONG_PROMPT)
+    assert isinstance(response, StreamedResponse)
+    assert not response.is_done
+    assert "connection_lost" in response.end_data
+    assert compute_expected_text(LONG_PROMPT).startswith(response.text)
+
+
 def test_stream_past_its_deadline_is_ended_and_cancelled(
     deployment: Deployment,
 ) -> None:
