--- a/libs/decisions/sapphirehoist/decisions/event_stream.py
+++ b/libs/decisions/sapphirehoist/decisions/event_stream.py
@@ -12,6 +12,8 @@
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
 _BLOCK_END = re.compile(_LINE_END + _LINE_END)
 _LINE = re.compile(rb"[^\r\n]+")
+# Such a line states a number beside an event, for example the version of its weights.
+_NUMBER_LINE = re.compile(rb"[a-z][a-z0-9-]*: ?[0-9]+")
 _BLANK_BYTES = b"\r\n"
 _MEDIA_TYPE = "text/event-stream"
 # Longer than any event; bytes without an empty line may come without end.
@@ -45,15 +47,16 @@
         Value of the event field; empty if it has none.
     is_event : bool
         Whether the block has an id or data.
-    is_foreign : bool
-        Whether the block has none of the fields of an event stream.
+    has_text : bool
+        Whether the block has a line that is neither a field of an event stream nor a
+        name with a number.
     """
 
     data: bytes
     ids: tuple[str, ...] = ()
     name: bytes = b""
     is_event: bool = False
-    is_foreign: bool = False
+    has_text: bool = False
 
     @classmethod
     def parse(cls, data: bytes) -> EventBlock:
@@ -65,27 +68,24 @@
         ('4',)
         >>> EventBlock.parse(b": comment\\n\\n").is_event
         False
-        >>> EventBlock.parse(b"Bad Gateway\\n\\n").is_foreign
+        >>> EventBlock.parse(b"Bad Gateway\\n\\n").has_text
         True
         """
         ids: list[str] = []
         name = b""
-        is_event, has_other_lines, has_known_field = False, False, False
+        is_event, has_text = False, False
         for line in _LINE.findall(data):
             field, _, value = line.partition(b":")
-            if field in (b"id", b"data"):
+            if field == b"id":
+                ids.append(value.strip().decode("latin-1"))
+                is_event = True
+            elif field == b"data":
                 is_event = True
-                if field == b"id":
-                    ids.append(value.strip().decode("latin-1"))
             elif field == b"event":
                 name = value.strip()
-                has_known_field = True
-            elif field in (b"", b"retry"):
-                has_known_field = True
-            else:
-                has_other_lines = True
-        is_foreign = has_other_lines and not (is_event or has_known_field)
-        return cls(data, tuple(ids), name, is_event, is_foreign)
+            elif field not in (b"", b"retry") and not _NUMBER_LINE.fullmatch(line):
+                has_text = True
+        return cls(data, tuple(ids), name, is_event, has_text)
 
 
 class EventSplitter:
--- a/libs/decisions/sapphirehoist/decisions/stream_continuity.py
+++ b/libs/decisions/sapphirehoist/decisions/stream_continuity.py
@@ -16,8 +16,10 @@
     is_event_stream,
 )
 
-# Longer ids have no meaning as numbers.
-_MAX_ID_DIGITS = 18
+# Bounds the cost of a comparison; ids of 64 bits have up to 20 digits.
+_MAX_ID_DIGITS = 40
+# So many ids, each one more than the one before, show that ids count events.
+_MIN_CONSECUTIVE_IDS = 2
 # Comments of an answer whose first event has not arrived.
 _MAX_HELD_BYTES = 2**20
 _MAX_LOGGED_CHARACTERS = 80
@@ -56,9 +58,10 @@
         Id of the last event that the caller has received before; empty for none.
     final_event : str, optional
         Name of the event that ends a stream and needs no id.
-    may_skip_ids : bool, optional
-        Whether an id may be followed by any larger one. By default, a continuation
-        may not leave out ids where all before were consecutive.
+    are_ids_offsets : bool, optional
+        Whether ids are offsets in a text, so that they may jump, and stay where they
+        are within an answer. By default, a continuation may not leave out ids where all
+        before were consecutive.
 
     Attributes
     ----------
@@ -74,14 +77,15 @@
 
     __slots__ = (
         "_answer_event_count",
-        "_are_ids_ordered",
+        "_are_ids_offsets",
+        "_consecutive_id_count",
         "_final_event",
         "_has_admitted_bytes",
         "_held",
-        "_is_consecutive",
+        "_has_known_order",
         "_is_continuation",
+        "_is_event_stream",
         "_is_last_event_identified",
-        "_may_skip_ids",
         "_splitter",
         "event_count",
         "first_event_id",
@@ -90,19 +94,21 @@
     )
 
     def __init__(
-        self, last_event_id: str, final_event: str = "", may_skip_ids: bool = False
+        self, last_event_id: str, final_event: str = "", are_ids_offsets: bool = False
     ) -> None:
         self._final_event = final_event.encode()
-        self._may_skip_ids = may_skip_ids
+        self._are_ids_offsets = are_ids_offsets
         self._splitter = EventSplitter()
         self._held = b""
         self._answer_event_count = 0
         self._has_admitted_bytes = False
         self._is_continuation = bool(last_event_id)
-        self._are_ids_ordered = not last_event_id or parse_event_id(last_event_id) >= 0
+        self._is_event_stream = True
+        # Whether the ids so far were rising numbers, of nothing but events.
+        self._has_known_order = not last_event_id or parse_event_id(last_event_id) >= 0
         self._is_last_event_identified = True
-        # Whether each id was one more than the one before; None before the first one.
-        self._is_consecutive: bool | None = None
+        # -1 once an id was not one more than the one before.
+        self._consecutive_id_count = 0
         self.event_count = 0
         self.has_ended = False
         self.first_event_id = ""
@@ -112,9 +118,10 @@
     def may_go_on(self) -> bool:
         """Return whether another answer can be verified to continue the stream.
 
-        It cannot behind an event without an id, or where ids are no rising numbers.
+        It cannot behind an event without an id or a text, or where ids are no rising
+        numbers.
         """
-        return self._are_ids_ordered and self._is_last_event_identified
+        return self._has_known_order and self._is_last_event_identified
 
     def begin_answer(self, content_type: str) -> str:
         """Begin to read another answer and discard what is left of the last one.
@@ -133,11 +140,12 @@
         self._answer_event_count = 0
         self.first_event_id = ""
         self._is_continuation = bool(self.last_event_id) or self._has_admitted_bytes
+        self._is_event_stream = not content_type or is_event_stream(content_type)
         if not self._is_continuation:
             return ""
         if not self.may_go_on:
             return "the stream has no known position"
-        if content_type and not is_event_stream(content_type):
+        if not self._is_event_stream:
             return f"not an event stream but {content_type[:_MAX_LOGGED_CHARACTERS]}"
         return ""
 
@@ -148,7 +156,7 @@
             refusal = self._check(block) if self._is_continuation else ""
             if refusal:
                 return AdmittedEvents(bytes(admitted), event_count, refusal)
-            if block.is_event:
+            if block.is_event or self._is_final(block):
                 event_count += 1
                 self._answer_event_count += 1
                 self._record_event(block)
@@ -156,6 +164,7 @@
                 # Nothing of an answer is forwarded before its first event is verified.
                 self._held += block.data
                 continue
+            self._has_known_order &= self._is_event_stream and not block.has_text
             admitted += self._held + block.data
             self._held = b""
             self._has_admitted_bytes = True
@@ -182,22 +191,25 @@
 
     def _check(self, block: EventBlock) -> str:
         """Return why `block` cannot continue the stream; empty if it does."""
-        if block.is_foreign:
+        if block.has_text:
             return "text that is no event"
         if not block.is_event or self._is_final(block):
             return ""
         if not block.ids:
             return "an event without an id"
         previous = parse_event_id(self.last_event_id)
-        may_skip = self._answer_event_count or self._may_skip_ids
-        is_gap_checked = bool(self._is_consecutive) and not may_skip
+        is_first = not self._answer_event_count
+        # Offsets stay where they are at an event without text.
+        may_repeat = self._are_ids_offsets and not is_first
+        are_ids_counts = self._consecutive_id_count >= _MIN_CONSECUTIVE_IDS
         for event_id in block.ids:
             number = parse_event_id(event_id)
-            is_gap = is_gap_checked and number > previous + 1
-            if number <= previous or is_gap:
+            is_gap = is_first and are_ids_counts and number > previous + 1
+            is_behind = number < previous or (number == previous and not may_repeat)
+            if number < 0 or is_behind or (is_gap and not self._are_ids_offsets):
                 text = event_id[:_MAX_LOGGED_CHARACTERS]
                 return f"event {text!r} after {self.last_event_id!r}"
-            previous, is_gap_checked = number, False
+            previous, is_first = number, False
         return ""
 
     def _is_final(self, block: EventBlock) -> bool:
@@ -213,10 +225,12 @@
         for event_id in block.ids:
             number = parse_event_id(event_id)
             previous = parse_event_id(self.last_event_id)
-            self._are_ids_ordered &= number > previous
-            # A stream begins with the id 0 or 1.
-            is_next = number == previous + 1 or (not self.last_event_id and number == 1)
-            self._is_consecutive = is_next and self._is_consecutive is not False
+            is_repeated = self._are_ids_offsets and number == previous >= 0
+            self._has_known_order &= number > previous or is_repeated
+            if number != previous + 1 and self.last_event_id:
+                self._consecutive_id_count = -1
+            elif self._consecutive_id_count >= 0 and self.last_event_id:
+                self._consecutive_id_count += 1
             self.first_event_id = self.first_event_id or event_id
             self.last_event_id = event_id
 
--- a/libs/decisions/sapphirehoist/decisions/tests/test_stream_continuity.py
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_stream_continuity.py
@@ -159,13 +159,13 @@
     FINAL = b"event: done\ndata: {}\n\n"
 
     def test_answer_of_the_final_event_alone_ends_the_stream(self) -> None:
-        continuity = StreamContinuity("20", "done", may_skip_ids=True)
+        continuity = StreamContinuity("20", "done", are_ids_offsets=True)
         continuity.begin_answer(EVENT_STREAM)
         assert continuity.admit(self.FINAL + event(30)).data == self.FINAL
         assert continuity.has_ended
 
     def test_its_name_in_the_data_of_an_event_ends_nothing(self) -> None:
-        continuity = StreamContinuity("0", "done", may_skip_ids=True)
+        continuity = StreamContinuity("0", "done", are_ids_offsets=True)
         continuity.begin_answer(EVENT_STREAM)
         continuity.admit(b'id: 9\ndata: "event: done"\n\n')
         assert not continuity.has_ended
--- a/libs/endpoints/sapphirehoist/endpoints/client.py
+++ b/libs/endpoints/sapphirehoist/endpoints/client.py
@@ -142,14 +142,11 @@
     ----------
     stream_id : str
         The engine's id of the stream, with which the stream can be resumed.
-    content_type : str
-        Content-Type of the response; empty if it states none.
     report : EndpointReport
         State that the engine reported when it opened the stream.
     """
 
     stream_id: str
-    content_type: str
     report: EndpointReport
 
     @abstractmethod
--- a/libs/endpoints/sapphirehoist/endpoints/http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -153,7 +153,11 @@
             if stream_id != resume.stream_id:
                 resp.close()
                 return Lost(f"{endpoint.name}: the answer is for stream {stream_id!r}")
-        return self._build_stream(endpoint, resp, resume.timeout_s)
+        stream = self._build_stream(endpoint, resp, resume.timeout_s)
+        if isinstance(stream, HttpStream):
+            # A resumed response may leave the id out.
+            stream.stream_id = resume.stream_id
+        return stream
 
     def cancel(self, endpoint: Endpoint, request_id: str) -> None:
         """Ask the endpoint to cancel its work on a request."""
@@ -230,7 +234,6 @@
         "_clock",
         "_deadline",
         "_endpoint_name",
-        "content_type",
         "report",
         "resp",
         "stream_id",
@@ -247,7 +250,6 @@
         self._deadline = clock.monotonic() + timeout_s
         self.resp = resp
         self.stream_id = resp.headers.get("X-Stream-Id", "")
-        self.content_type = resp.headers.get("Content-Type", "")
         self.report = _parse_report(resp)
         self._endpoint_name = endpoint_name
 
--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -178,7 +178,7 @@
             context,
             inputs,
             record,
-            relay.last_event_id or context.metadata.last_event_id,
+            relay.last_event_id,
         )
         generation = context.metadata.generation
         token_count = 0
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -122,10 +122,12 @@
         """
         last_result: AttemptResult | None = None
         while True:
+            if not progress.may_go_on:
+                return self._failure_outcome(progress, last_result, None)
             error = self._checks.check_attempt(context, progress)
             candidate = (
                 None
-                if error or not progress.may_go_on
+                if error
                 else self._chooser.choose(
                     context, inputs, progress.tried_endpoints, progress.software_version
                 )
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -233,9 +233,7 @@
         timeout = gevent.Timeout(
             max(0.001, context.response_limit_at - self._clock.monotonic())
         )
-        is_resumable = context.is_resumable_stream
-        last_event_id = context.metadata.last_event_id if is_resumable else ""
-        relay = EventRelay(exchange, last_event_id)
+        relay = EventRelay(exchange, context.metadata.last_event_id)
         progress = RequestProgress(relay, buffer)
         if buffer is not None:
             buffer.request_id = trace.request_id
--- a/libs/gateway/sapphirehoist/gateway/request_checks.py
+++ b/libs/gateway/sapphirehoist/gateway/request_checks.py
@@ -15,7 +15,7 @@
 from sapphirehoist.gateway.error_response import ErrorReason, ErrorResponse
 from sapphirehoist.gateway.request_context import RequestContext, RequestProgress
 from sapphirehoist.gateway.stream_origin_sync import StreamOriginSync
-from sapphirehoist.routes import Service
+from sapphirehoist.routes import RequestKind, Service
 
 # With less time remaining, an endpoint could not answer before the deadline.
 _MIN_REMAINING_S = 0.02
@@ -97,12 +97,15 @@
 
         Return an error response if the stream cannot go on.
         """
-        if not context.metadata.last_event_id or not context.is_resumable_stream:
+        last_event_id = context.metadata.last_event_id
+        if not last_event_id or context.route.kind is not RequestKind.STREAMING:
             return None
-        if parse_event_id(context.metadata.last_event_id) < 0:
+        if parse_event_id(last_event_id) < 0:
             return ErrorResponse(
                 ErrorReason.BAD_REQUEST, "the last event id must be a whole number"
             )
+        if not context.is_resumable_stream:
+            return None
         service = context.service.name
         origin = self._stream_origins.find(context.metadata.stream_id, service)
         if origin is None or origin.service != service:
--- a/libs/pipeline/sapphirehoist/pipeline/streams.py
+++ b/libs/pipeline/sapphirehoist/pipeline/streams.py
@@ -12,7 +12,7 @@
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.configuration import ClassOfWork, Endpoint
-from sapphirehoist.decisions import StreamContinuity
+from sapphirehoist.decisions import StreamContinuity, parse_event_id
 from sapphirehoist.endpoints import (
     FINAL_EVENT,
     EndpointClient,
@@ -120,13 +120,14 @@
         deadline: float,
     ) -> _StreamRelay:
         """Return the relay of a stream whose caller has the text before `offset`."""
-        continuity = StreamContinuity(str(offset), FINAL_EVENT, may_skip_ids=True)
+        last_event_id = str(offset) if offset else ""
+        continuity = StreamContinuity(last_event_id, FINAL_EVENT, are_ids_offsets=True)
         return cls(request_id, endpoint, stream, continuity, deadline)
 
     @property
     def offset(self) -> int:
         """Return the offset after the last relayed event, in bytes of text."""
-        return int(self.continuity.last_event_id)
+        return max(0, parse_event_id(self.continuity.last_event_id))
 
 
 class StreamRunner:
@@ -306,7 +307,8 @@
     def _relay_events(self, relay: _StreamRelay) -> Iterator[StreamBlock | StreamEnd]:
         """Yield the engine's events, resuming a broken stream after its last event."""
         for _ in range(1 + _MAX_RECONNECTS):
-            broken = relay.continuity.begin_answer(relay.stream.content_type)
+            # The ids are verified whatever type an engine states.
+            broken = relay.continuity.begin_answer("")
             for item in () if broken else relay.stream.events():
                 if isinstance(item, StreamBroken):
                     broken = item.detail
--- a/libs/testing/sapphirehoist/standins/engine.py
+++ b/libs/testing/sapphirehoist/standins/engine.py
@@ -205,7 +205,6 @@
         headers = {
             **self._response_headers(job.stage, stream_id),
             "X-Stream-Id": stream_id,
-            "Content-Type": "text/event-stream",
         }
         if self._resume_as == "text":
             headers["Content-Type"] = "text/plain"
--- a/libs/testing/sapphirehoist/testing/fakes.py
+++ b/libs/testing/sapphirehoist/testing/fakes.py
@@ -155,7 +155,6 @@
 
     def __init__(self, blocks: list[bytes | StreamBroken]) -> None:
         self.stream_id = "stream-1"
-        self.content_type = "text/event-stream"
         self.report = EndpointReport()
         self.is_closed = False
         self._blocks = blocks
