Give up a silent endpoint only if another one can be tried

An attempt that had no answer after 0.45 of the time, or no first event of a resumable stream after 1.5 times the latency target, was given up without a look at what could follow.

Ruled out: a check when the attempt begins alone; candidates and budget change until the limit ends. The limit now asks when it ends, and every 0.25 s from then on, whether another endpoint may be tried, as the stall limit within a stream did already. It asks in the hub, so that of many attempts whose limits end together only as many are given up as the budget allows.

--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
@@ -49,6 +50,9 @@
 # short; the share of the remaining time limits both.
 _FIRST_EVENT_TARGET_MULTIPLE = 1.5
 _MIN_FIRST_EVENT_TIMEOUT_S = 2.0
+# Interval at which an attempt that is past its limit, and was kept for lack of another
+# endpoint, is checked again.
+_RECHECK_INTERVAL_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +72,9 @@
     ----------
     limit_s : float or None
         The limit in seconds; None for no limit.
+    may_give_up : callable
+        Returns whether the attempt may be given up, without blocking; asked when the
+        limit ends, and regularly from then on.
     clock : Clock
         Monotonic time.
 
@@ -76,33 +83,68 @@
     ends_at : float or None
         Monotonic time at which the limit ends; None for no limit.
     timeout : gevent.Timeout
-        Interrupts the attempt at that time, unless it is closed before.
+        Raised in the attempt when it is given up, unless the limit is closed before.
     """
 
-    __slots__ = ("_limit_s", "ends_at", "timeout")
+    __slots__ = (
+        "_clock",
+        "_greenlet",
+        "_may_give_up",
+        "_started_at",
+        "_timer",
+        "ends_at",
+        "timeout",
+    )
 
-    def __init__(self, limit_s: float | None, clock: Clock) -> None:
-        self._limit_s = limit_s
-        self.ends_at = None if limit_s is None else clock.monotonic() + limit_s
-        self.timeout = gevent.Timeout(limit_s)
+    def __init__(
+        self, limit_s: float | None, may_give_up: Callable[[], bool], clock: Clock
+    ) -> None:
+        self._may_give_up = may_give_up
+        self._clock = clock
+        self._greenlet = gevent.getcurrent()
+        self._started_at = clock.monotonic()
+        self.ends_at = None if limit_s is None else self._started_at + limit_s
+        self.timeout = gevent.Timeout(None)
+        self._timer = gevent.get_hub().loop.timer(limit_s or 0.0, _RECHECK_INTERVAL_S)
 
     @property
     def detail(self) -> str:
-        """Return why an attempt was given up at the limit."""
-        return f"nothing for {self._limit_s or 0.0:.2f} s"
+        """Return why an attempt was given up."""
+        return f"nothing for {self._clock.monotonic() - self._started_at:.2f} s"
+
+    def may_give_up(self) -> bool:
+        """Return whether the attempt may be given up; let the limit go on if not."""
+        if self._may_give_up():
+            return True
+        if self.ends_at is not None:
+            self.ends_at = self._clock.monotonic() + _RECHECK_INTERVAL_S
+        return False
 
     def extend(self, duration_s: float) -> None:
-        """Let the limit end later."""
+        """Let the limit begin and end later."""
+        self._started_at += duration_s
         if self.ends_at is not None:
             self.ends_at += duration_s
 
     def start(self) -> None:
         """Begin to limit the attempt."""
-        self.timeout.start()
+        if self.ends_at is not None:
+            self._timer.start(self._expire)
 
     def close(self) -> None:
         """Interrupt the attempt no more."""
-        self.timeout.close()
+        self._timer.stop()
+        self._timer.close()
+
+    def _expire(self) -> None:
+        """Interrupt the attempt if it may be given up; called by the hub.
+
+        Of attempts whose limits end together, each is asked after the ones before it
+        have taken their part of the retry budget.
+        """
+        if self.may_give_up():
+            self.close()
+            self._greenlet.throw(self.timeout)
 
 
 class AttemptSender:
@@ -191,7 +233,11 @@
             context, inputs, record.name
         )
         reply: EndpointResponse | NotSent | Lost | None = None
-        limit = _ReplyLimit(self._attempt_timeout_s(context, progress), self._clock)
+        limit = _ReplyLimit(
+            self._attempt_timeout_s(context, progress),
+            lambda: self._may_retry(context, progress),
+            self._clock,
+        )
         limit.start()
         try:
             reply = self._connections.call(
@@ -454,8 +500,12 @@
         engine can continue it.
         """
         if last_event_at is None:
-            first_block = self._read_block(reply, limit.ends_at)
-            return TruncatedBody(limit.detail) if first_block is None else first_block
+            while True:
+                first_block = self._read_block(reply, limit.ends_at)
+                if first_block is not None:
+                    return first_block
+                if limit.may_give_up():
+                    return TruncatedBody(limit.detail)
         caller_timeout_s = context.route.first_event_timeout_s
         if caller_timeout_s is None or not context.route.is_idempotent:
             return reply.read_block()
