Take the time-outs of attempts from the time without the stop

Cause: the time-out of an attempt is 0.45 of what is left until response_limit_at, which the end of the process shortens. Class of fault: a limit for when work has to end, used as an estimate of how long it takes. Ruled out: a fixed time-out (without the stop the same attempt gets 5.4 s), and that no second attempt begins (the engine's log shows it; ours names ended attempts only).

The time-outs, also that of a stalled stream, now come from RequestContext.time_limit_at, which a stop does not shorten. During a stop a silent attempt is given up only if the next one gets as much time as it had, whether the request came before SIGTERM or after.

--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -235,7 +235,7 @@
         reply: EndpointResponse | NotSent | Lost | None = None
         limit = _ReplyLimit(
             self._attempt_timeout_s(context, progress),
-            lambda: self._may_retry(context, progress),
+            lambda: self._may_give_up(context, progress),
             self._clock,
         )
         limit.start()
@@ -322,9 +322,10 @@
         """Return the timeout for the first bytes of a reply; None for no timeout.
 
         An attempt that cannot be followed by another one is limited only by the
-        request's own deadline.
+        request's own deadline. A planned stop of this node makes no endpoint faster, so
+        that it does not shorten the timeout.
         """
-        remaining_s = context.response_limit_at - self._clock.monotonic()
+        remaining_s = context.time_limit_at - self._clock.monotonic()
         if (
             not context.route.is_idempotent
             or progress.send_count + 1 >= context.route.max_attempts
@@ -514,7 +515,7 @@
             stall_s = stall_timeout_s(
                 caller_timeout_s,
                 context.route.event_gap_target_s,
-                context.response_limit_at - last_event_at,
+                context.time_limit_at - last_event_at,
             )
             may_move = self._may_retry(context, progress)
             if now - last_event_at >= stall_s and may_move:
@@ -540,6 +541,19 @@
                 raise
             return None
 
+    def _may_give_up(self, context: RequestContext, progress: RequestProgress) -> bool:
+        """Return whether a silent attempt may be given up for one elsewhere.
+
+        Before a planned stop of this node, the next attempt has to get as much time as
+        this one had.
+        """
+        now = self._clock.monotonic()
+        stop_at = context.limit_to_stop(context.time_limit_at)
+        is_cut_short = stop_at < context.time_limit_at
+        if is_cut_short and stop_at - now < now - progress.attempt_started_at:
+            return False
+        return self._may_retry(context, progress)
+
     def _may_retry(self, context: RequestContext, progress: RequestProgress) -> bool:
         """Return whether another endpoint may be tried after the present attempt."""
         service = context.service
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -323,6 +323,7 @@
         )
         limit_s = min(deadline_s - _RESPONSE_MARGIN_S, route.timeout_s)
         elapsed_s = self._caller_timeouts.elapsed_s(route.name, deadline_s)
+        time_limit_at = request.first_byte_at + limit_s
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
@@ -333,12 +334,14 @@
             resolved.service,
             team.name if team is not None and not route.is_public else "",
             priority,
-            self._active_requests.limit(request.first_byte_at + limit_s),
+            self._active_requests.limit(time_limit_at),
             request.first_byte_at + deadline_s,
             request.first_byte_at + route.latency_target_s - elapsed_s,
             request.first_byte_at + min(limit_s, _first_byte_limit_s(route)),
             allowed_regions(route, team),
             elapsed_s > 0.0,
+            time_limit_at,
+            self._active_requests.limit,
         )
 
     def _dispatch_with_stages(
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -33,7 +34,7 @@
     priority : int
         Scheduling priority; 0 is the most urgent.
     response_limit_at : float
-        Monotonic time by which the response has to be complete.
+        Monotonic time by which the response has to be complete, as known on arrival.
     deadline_at : float
         Monotonic time of the caller's deadline.
     latency_target_at : float
@@ -45,6 +46,10 @@
         Regions whose endpoints may receive the request; None for any.
     has_returned : bool
         Whether the caller seems to have sent the request before.
+    time_limit_at : float
+        Like `response_limit_at`, but not shortened by a planned stop of this node.
+    limit_to_stop : callable
+        Returns a monotonic time, or that of a planned stop of this node if earlier.
     """
 
     request: CallerRequest
@@ -57,8 +62,10 @@
     deadline_at: float
     latency_target_at: float
     first_byte_limit_at: float
-    allowed_regions: frozenset[str] | None = None
-    has_returned: bool = False
+    allowed_regions: frozenset[str] | None
+    has_returned: bool
+    time_limit_at: float
+    limit_to_stop: Callable[[float], float]
 
     @property
     def is_resumable_stream(self) -> bool:
