Log the attempt that the end of a request interrupts

The log of a request that ended at its time limit, or whose caller left, named the attempts that had an outcome. Attempts without an outcome are now in the list as "interrupted".

--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -188,11 +188,27 @@
         resumed_after = relay.last_event_id
         event_count, unforwarded_bytes = relay.event_count, relay.unforwarded_bytes
         outcome: AttemptOutcome | None = None
+
+        def streamed_part() -> StreamedPart:
+            return StreamedPart(
+                resumed_after,
+                relay.last_event_id,
+                relay.event_count - event_count,
+                relay.unforwarded_bytes - unforwarded_bytes,
+            )
+
         try:
             result = self._sender.send(context, inputs, record, progress, trace)
             outcome = result.outcome
         finally:
             self._endpoint_memory.end(record, body_bytes, held_bytes, outcome)
+            if outcome is None:
+                trace.record_interruption(
+                    record.name,
+                    record.software_version,
+                    self._clock.monotonic() - started_at,
+                    streamed_part(),
+                )
         progress.is_attempt_in_flight = False
         duration_s = self._clock.monotonic() - started_at
         if result.outcome is not AttemptOutcome.ANSWERED:
@@ -204,12 +220,7 @@
             duration_s,
             candidate.load,
             result.detail,
-            StreamedPart(
-                resumed_after,
-                relay.last_event_id,
-                relay.event_count - event_count,
-                relay.unforwarded_bytes - unforwarded_bytes,
-            ),
+            streamed_part(),
         )
         self._recorder.record(context, record, result, duration_s, candidate)
         if result.outcome is not AttemptOutcome.NOT_SENT:
--- a/libs/gateway/sapphirehoist/gateway/trace.py
+++ b/libs/gateway/sapphirehoist/gateway/trace.py
@@ -139,10 +139,9 @@
         streamed: StreamedPart,
     ) -> None:
         """Record the outcome of an attempt and log it immediately if it failed."""
-        self.attempt_count += 1
-        self._attempts.append(f"{endpoint} {outcome.value} {duration_s * 1000:.0f} ms")
-        self._software_versions.append(software_version)
-        self._streamed_parts.append(streamed.describe())
+        self._add_attempt(
+            endpoint, software_version, outcome.value, duration_s, streamed
+        )
         if outcome is AttemptOutcome.ANSWERED:
             return
         extra = {
@@ -166,6 +165,35 @@
             extra["prompt_parts"] = self.prompt_parts
         _logger.info("attempt failed", extra=extra)
 
+    def record_interruption(
+        self,
+        endpoint: str,
+        software_version: str,
+        duration_s: float,
+        streamed: StreamedPart,
+    ) -> None:
+        """Record an attempt without an outcome: its request ended, or its caller left.
+
+        Without it, the log of a request that ends at its limit would lack its last
+        attempt.
+        """
+        self._add_attempt(
+            endpoint, software_version, "interrupted", duration_s, streamed
+        )
+
+    def _add_attempt(
+        self,
+        endpoint: str,
+        software_version: str,
+        label: str,
+        duration_s: float,
+        streamed: StreamedPart,
+    ) -> None:
+        self.attempt_count += 1
+        self._attempts.append(f"{endpoint} {label} {duration_s * 1000:.0f} ms")
+        self._software_versions.append(software_version)
+        self._streamed_parts.append(streamed.describe())
+
     def log_outcome(self, outcome: str, status: int, detail: str = "") -> None:
         """Log the outcome of the request.
 
