Refuse at once what a stopping node cannot answer in time

Cause: only the forecast time of stages was compared with the end of the process, not the time that the response takes at its endpoint; routes without stages were taken always.

ResponseTimes (decisions, no network) learns for each route and service how long responses take, up to the last event of a stream, and by stated size. A request that would outlast the process is refused with 503 before it is sent, on arrival or before a later attempt where nothing has run, so that its caller is served elsewhere. Late requests that may not be repeated are refused while fewer than 8 responses are known; others are taken then. The longest of the last 256 counts: ruled out were a lower quantile, which cuts what is longer, and a window of 64, in which sizes share too few.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -84,6 +84,7 @@
 )
 from sapphirehoist.decisions.placement_choice import ScoredCandidate, SpreadChoice
 from sapphirehoist.decisions.prefill_speed import PrefillSpeed
+from sapphirehoist.decisions.response_times import ResponseTimes
 from sapphirehoist.decisions.retries import (
     AttemptFailure,
     BudgetedRetry,
@@ -193,6 +194,7 @@
     "QueuedPiece",
     "RandomRouting",
     "RateHolders",
+    "ResponseTimes",
     "RetryAction",
     "RetryPolicy",
     "ReturnOrder",
--- a/libs/gateway/sapphirehoist/gateway/attempt_recorder.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt_recorder.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from sapphirehoist.decisions import EndpointRestarts, PlacementCandidate
+from sapphirehoist.decisions import (
+    EndpointRestarts,
+    PlacementCandidate,
+    ResponseTimes,
+)
 from sapphirehoist.discovery import EndpointRecord
 from sapphirehoist.gateway.attempt import AttemptResult
 from sapphirehoist.gateway.attempt_outcome import AttemptOutcome
@@ -27,22 +31,32 @@
         Learns which requests crash engines.
     restarts : EndpointRestarts
         Learns at which endpoints attempts are lost.
+    response_times : ResponseTimes
+        Learns how long responses take.
     metrics : Metrics
         Receives the counters ``attempts_total`` and ``endpoint_ejections_total``.
     """
 
-    __slots__ = ("_crash_quarantine", "_endpoints", "_metrics", "_restarts")
+    __slots__ = (
+        "_crash_quarantine",
+        "_endpoints",
+        "_metrics",
+        "_response_times",
+        "_restarts",
+    )
 
     def __init__(
         self,
         endpoints: EndpointCandidates,
         crash_quarantine: CrashQuarantineSync,
         restarts: EndpointRestarts,
+        response_times: ResponseTimes,
         metrics: Metrics,
     ) -> None:
         self._endpoints = endpoints
         self._crash_quarantine = crash_quarantine
         self._restarts = restarts
+        self._response_times = response_times
         self._metrics = metrics
 
     def record(
@@ -58,6 +72,13 @@
         if result.outcome in _LOSSES:
             is_absent = result.outcome is AttemptOutcome.NOT_SENT
             self._restarts.record_loss(record.name, is_absent)
+        if result.outcome is AttemptOutcome.ANSWERED:
+            self._response_times.record(
+                context.route.name,
+                context.service.name,
+                duration_s,
+                context.output_tokens,
+            )
         loads = self._endpoints.loads
         self._metrics.count(
             "attempts_total", service=context.service.name, end=result.outcome.value
--- a/libs/gateway/sapphirehoist/gateway/error_response.py
+++ b/libs/gateway/sapphirehoist/gateway/error_response.py
@@ -53,6 +53,10 @@
 }
 
 
+# Callers can retry at another node immediately.
+_STOPPING_RETRY_AFTER_S = 0.02
+
+
 @dataclass(frozen=True, slots=True)
 class ErrorResponse:
     """An error response of the gateway.
@@ -92,3 +96,10 @@
         """Return the body of the response."""
         text = self.reason.value.replace("_", " ")
         return (f"{text}: {self.detail}" if self.detail else text).encode()
+
+
+def stopping_error(detail: str) -> ErrorResponse:
+    """Return the response to a request that another node has to serve."""
+    return ErrorResponse(
+        ErrorReason.STOPPING, f"this node stops; {detail}", _STOPPING_RETRY_AFTER_S
+    )
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -21,7 +21,11 @@
 from sapphirehoist.gateway.codec import CallCodec, DecodeFailure, RequestMetadata
 from sapphirehoist.gateway.dispatch import Dispatcher
 from sapphirehoist.gateway.endpoint_chooser import EndpointChooser
-from sapphirehoist.gateway.error_response import ErrorReason, ErrorResponse
+from sapphirehoist.gateway.error_response import (
+    ErrorReason,
+    ErrorResponse,
+    stopping_error,
+)
 from sapphirehoist.gateway.relay import EventRelay
 from sapphirehoist.gateway.request_checks import RequestChecks
 from sapphirehoist.gateway.request_context import (
@@ -53,8 +57,6 @@
 _RESPONSE_MARGIN_S = 0.03
 # A node receives the configuration within about this time.
 _NO_CONFIGURATION_RETRY_AFTER_S = 0.5
-# Callers can retry at another node immediately.
-_STOPPING_RETRY_AFTER_S = 0.02
 # Sent if a stage failed, and the minimum for overloaded stages: overloaded stage pools
 # complete a few calls within this time.
 _STAGES_RETRY_AFTER_S = 0.5
@@ -265,7 +267,7 @@
         if progress.may_have_run or progress.is_attempt_in_flight:
             return ErrorResponse(ErrorReason.TIMEOUT, "no answer in time")
         if self._active_requests.stop_at is not None:
-            return _stopping("not run in time")
+            return stopping_error("not run in time")
         return ErrorResponse(ErrorReason.TIMEOUT_NOT_RUN, "not run in time", 0.1)
 
     def _resolve_request(
@@ -273,7 +275,7 @@
     ) -> _ResolvedRequest | ErrorResponse:
         """Look up the route, service and team, or return the error response."""
         if self._is_rejecting():
-            return _stopping("accepts no more requests")
+            return stopping_error("accepts no more requests")
         routes = self._current_routes()
         if routes is None:
             return ErrorResponse(
@@ -418,14 +420,11 @@
     def _check_stop(
         self, forecast: Forecast, context: RequestContext
     ) -> ErrorResponse | None:
-        """Return an error response if this node is forecast to stop before."""
-        stop_at = self._active_requests.stop_at
-        expected_s = forecast.on_time_s * self._forecast_correction.factor(
+        """Return an error response if this node is forecast to stop before the end."""
+        stages_s = forecast.on_time_s * self._forecast_correction.factor(
             context.route.name
         )
-        if stop_at is None or self._clock.monotonic() + expected_s <= stop_at:
-            return None
-        return _stopping(f"stages would take {expected_s:.2f} s")
+        return self._checks.check_stop(context, stages_s)
 
     def _check_forecast(
         self, forecast: Forecast, context: RequestContext, trace: RequestTrace
@@ -511,7 +510,7 @@
         if progress.may_have_run:
             return ErrorResponse(ErrorReason.ENDPOINT_LOST, failure.detail)
         if self._active_requests.stop_at is not None:
-            return _stopping(failure.detail)
+            return stopping_error(failure.detail)
         return home_error or ErrorResponse(
             ErrorReason.STAGE_FAILED, failure.detail, _STAGES_RETRY_AFTER_S
         )
@@ -550,13 +549,6 @@
         return ErrorResponse(error.reason, error.detail, error.retry_after_s * factor)
 
 
-def _stopping(detail: str) -> ErrorResponse:
-    """Return the response to a request that another node has to serve."""
-    return ErrorResponse(
-        ErrorReason.STOPPING, f"this node stops; {detail}", _STOPPING_RETRY_AFTER_S
-    )
-
-
 def _cut_outcome(exc: ResponseCut, exchange: Exchange) -> DispatchOutcome:
     """Return the outcome of a request whose response was cut off for its caller."""
     if exchange.has_begun:
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -28,6 +28,7 @@
     MemoryBudget,
     PredictedPlacement,
     PrefillSpeed,
+    ResponseTimes,
     ReturnOrder,
     SharedRetryBudget,
     SpreadChoice,
@@ -632,11 +633,13 @@
             self._peer_bus,
         )
         self._limit_sync.add_brittle_digest()
+        response_times = ResponseTimes()
         checks = RequestChecks(
             endpoints,
             retry_budget,
             self.crash_quarantine,
             self._stream_origin_sync,
+            response_times,
             clock,
         )
         chooser = self._build_chooser(endpoints)
@@ -649,7 +652,9 @@
             dependencies.codec,
             checks,
             chooser,
-            self._build_dispatcher(endpoints, retry_budget, checks, chooser),
+            self._build_dispatcher(
+                endpoints, retry_budget, checks, chooser, response_times
+            ),
             self._stage_scheduler,
             stage_admission if settings.is_admission_by_owners else None,
             retry_budget,
@@ -778,6 +783,7 @@
         retry_budget: SharedRetryBudget,
         checks: RequestChecks,
         chooser: EndpointChooser,
+        response_times: ResponseTimes,
     ) -> Dispatcher:
         clock = self._dependencies.clock
         engine_paces = EnginePaceSync(
@@ -802,7 +808,11 @@
             self._endpoint_follower.last_read_at,
         )
         recorder = AttemptRecorder(
-            endpoints, self.crash_quarantine, restarts, self.metrics
+            endpoints,
+            self.crash_quarantine,
+            restarts,
+            response_times,
+            self.metrics,
         )
         return Dispatcher(
             endpoints,
--- a/libs/gateway/sapphirehoist/gateway/request_checks.py
+++ b/libs/gateway/sapphirehoist/gateway/request_checks.py
@@ -6,13 +6,18 @@
 
 from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import (
+    ResponseTimes,
     SharedRetryBudget,
     is_request_trait,
     parse_event_id,
 )
 from sapphirehoist.gateway.candidates import EndpointCandidates
 from sapphirehoist.gateway.crash_quarantine_sync import CrashQuarantineSync
-from sapphirehoist.gateway.error_response import ErrorReason, ErrorResponse
+from sapphirehoist.gateway.error_response import (
+    ErrorReason,
+    ErrorResponse,
+    stopping_error,
+)
 from sapphirehoist.gateway.request_context import RequestContext, RequestProgress
 from sapphirehoist.gateway.stream_origin_sync import StreamOriginSync
 from sapphirehoist.routes import Service
@@ -42,6 +47,8 @@
         Knows which requests crash engines.
     stream_origins : StreamOriginSync
         Knows the software version that began a stream.
+    response_times : ResponseTimes
+        Knows how long responses take.
     clock : Clock
         Monotonic time.
     """
@@ -50,6 +57,7 @@
         "_clock",
         "_crash_quarantine",
         "_endpoints",
+        "_response_times",
         "_retry_budget",
         "_stream_origins",
     )
@@ -60,12 +68,14 @@
         retry_budget: SharedRetryBudget,
         crash_quarantine: CrashQuarantineSync,
         stream_origins: StreamOriginSync,
+        response_times: ResponseTimes,
         clock: Clock,
     ) -> None:
         self._endpoints = endpoints
         self._retry_budget = retry_budget
         self._crash_quarantine = crash_quarantine
         self._stream_origins = stream_origins
+        self._response_times = response_times
         self._clock = clock
 
     def check_homes(
@@ -165,6 +175,29 @@
             hold.retry_after_s,
         )
 
+    def check_stop(
+        self, context: RequestContext, stages_s: float = 0.0
+    ) -> ErrorResponse | None:
+        """Return an error response if the response would outlast this node.
+
+        `stages_s` is the forecast time of the stages. A request that arrived before the
+        stop is sent where it is not known how long its response takes.
+        """
+        stop_at = context.limit_to_stop(context.time_limit_at)
+        if stop_at >= context.time_limit_at:
+            return None
+        left_s = stop_at - self._clock.monotonic() - stages_s
+        if self._response_times.is_in_time(
+            context.route.name,
+            context.service.name,
+            left_s,
+            context.output_tokens,
+            context.route.is_idempotent or not context.is_late,
+        ):
+            return None
+        stages = f", after {stages_s:.2f} s of stages" if stages_s else ""
+        return stopping_error(f"{max(0.0, left_s):.2f} s are too short{stages}")
+
     def check_attempt(
         self, context: RequestContext, progress: RequestProgress
     ) -> ErrorResponse | None:
@@ -173,6 +206,10 @@
             return ErrorResponse(
                 ErrorReason.TIMEOUT_NOT_RUN, "no time left for an attempt"
             )
+        if not progress.may_have_run:
+            error = self.check_stop(context)
+            if error is not None:
+                return error
         if not progress.is_quarantine_trial or progress.may_have_run:
             error = self.check_quarantine(context)
             if error is not None:
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -72,6 +72,17 @@
         """Return whether another endpoint may continue the response, a stream."""
         return self.route.kind is RequestKind.STREAMING and self.route.is_resumable
 
+    @property
+    def is_late(self) -> bool:
+        """Return whether the request arrived when this node was about to stop."""
+        return self.response_limit_at < self.time_limit_at
+
+    @property
+    def output_tokens(self) -> int:
+        """Return the stated size of the response in tokens; 0 without one."""
+        generation = self.metadata.generation
+        return generation.output_tokens if generation is not None else 0
+
     @property
     def shared_prompt_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that other requests may have too."""
