--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -33,7 +34,7 @@
     priority : int
         Scheduling priority; 0 is the most urgent.
     response_limit_at : float
-        Monotonic time by which the response has to be complete.
+        Monotonic time by which the response has to be complete, as known on arrival.
     deadline_at : float
         Monotonic time of the caller's deadline.
     latency_target_at : float
@@ -45,6 +46,10 @@
         Regions whose endpoints may receive the request; None for any.
     has_returned : bool
         Whether the caller seems to have sent the request before.
+    time_limit_at : float
+        Like `response_limit_at`, but not shortened by a planned stop of this node.
+    limit_to_stop : callable
+        Returns a monotonic time, or that of a planned stop of this node if earlier.
     """
 
     request: CallerRequest
@@ -57,14 +62,27 @@
     deadline_at: float
     latency_target_at: float
     first_byte_limit_at: float
-    allowed_regions: frozenset[str] | None = None
-    has_returned: bool = False
+    allowed_regions: frozenset[str] | None
+    has_returned: bool
+    time_limit_at: float
+    limit_to_stop: Callable[[float], float]
 
     @property
     def is_resumable_stream(self) -> bool:
         """Return whether another endpoint may continue the response, a stream."""
         return self.route.kind is RequestKind.STREAMING and self.route.is_resumable
 
+    @property
+    def is_late(self) -> bool:
+        """Return whether the request arrived when this node was about to stop."""
+        return self.response_limit_at < self.time_limit_at
+
+    @property
+    def output_tokens(self) -> int:
+        """Return the stated size of the response in tokens; 0 without one."""
+        generation = self.metadata.generation
+        return generation.output_tokens if generation is not None else 0
+
     @property
     def shared_prompt_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that other requests may have too."""
