Keep a silent engine until another one can go on, and bound comments

The stages now run again in the background while the silent engine is still read, and the attempt is given up once their results exist.

--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -107,6 +107,11 @@
         self.timeout = gevent.Timeout(None)
         self._timer = gevent.get_hub().loop.timer(limit_s or 0.0, _RECHECK_INTERVAL_S)
 
+    @property
+    def is_over(self) -> bool:
+        """Return whether the limit has ended."""
+        return self.ends_at is not None and self._clock.monotonic() >= self.ends_at
+
     @property
     def detail(self) -> str:
         """Return why an attempt was given up."""
@@ -414,7 +419,7 @@
         slowdown = self._endpoints.loads.slowdown(record.name)
         while not refusal:
             chunk = self._read_stream_block(
-                context, reply, progress, last_event_at, limit
+                context, reply, inputs, progress, last_event_at, limit
             )
             if isinstance(chunk, TruncatedBody):
                 return _broken(progress, chunk.detail, head)
@@ -490,6 +495,7 @@
         self,
         context: RequestContext,
         reply: EndpointResponse,
+        inputs: StageInputs | None,
         progress: RequestProgress,
         last_event_at: float | None,
         limit: _ReplyLimit,
@@ -498,15 +504,14 @@
 
         A stream has stalled if its first event takes longer than `limit`, or if no
         event was completed for too long, even if single bytes arrive, and another
-        engine can continue it.
+        engine can continue it. The results that it needs for that are computed first.
         """
         if last_event_at is None:
-            while True:
+            while not (limit.is_over and limit.may_give_up()):
                 first_block = self._read_block(reply, limit.ends_at)
                 if first_block is not None:
                     return first_block
-                if limit.may_give_up():
-                    return TruncatedBody(limit.detail)
+            return TruncatedBody(limit.detail)
         caller_timeout_s = context.route.first_event_timeout_s
         if caller_timeout_s is None or not context.route.is_idempotent:
             return reply.read_block()
@@ -517,11 +522,14 @@
                 context.route.event_gap_target_s,
                 context.time_limit_at - last_event_at,
             )
-            may_move = self._may_retry(context, progress)
-            if now - last_event_at >= stall_s and may_move:
-                return TruncatedBody(f"no event for {now - last_event_at:.2f} s")
             wait_s = last_event_at + stall_s - now
-            ends_at = now + (wait_s if wait_s > 0 else stall_s)
+            if (
+                wait_s <= 0
+                and self._may_retry(context, progress)
+                and (inputs is None or inputs.prepare_again())
+            ):
+                return TruncatedBody(f"no event for {now - last_event_at:.2f} s")
+            ends_at = now + (wait_s if wait_s > 0 else _RECHECK_INTERVAL_S)
             block = self._read_block(reply, ends_at)
             if block is not None:
                 return block
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -167,6 +167,13 @@
     def is_released(self) -> bool:
         """Return whether the results were released."""
 
+    @abstractmethod
+    def prepare_again(self) -> bool:
+        """Return whether the results exist; begin to compute them again if not.
+
+        They are computed in the background, once at most.
+        """
+
     @abstractmethod
     def release(self) -> None:
         """Release the results after an engine has read them or none will."""
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import gevent
 from gevent.event import AsyncResult
 from gevent.queue import Empty, Queue
 
@@ -103,6 +104,7 @@
         "_priority",
         "_progress",
         "_released_stages",
+        "_rerun_task",
         "_retries",
         "_route",
         "_scheduled_starts",
@@ -154,6 +156,7 @@
         self.end_s_by_stage: dict[int, float] = {}
         self.plan: StagePlan | None = None
         self._is_released = False
+        self._rerun_task: gevent.Greenlet | None = None
         self._clear_results()
 
     @property
@@ -163,8 +166,9 @@
 
     @property
     def is_released(self) -> bool:
-        """Return whether the results have been released."""
-        return self._is_released
+        """Return whether the results have been released and do not exist again."""
+        is_rerunning = self._rerun_task is not None and not self._rerun_task.ready()
+        return self._is_released or is_rerunning
 
     @property
     def handles(self) -> tuple[str, ...]:
@@ -260,8 +264,25 @@
         if not plan.is_on_time:
             self._target_at = min(self._target_at, self._clock.monotonic())
 
+    def prepare_again(self) -> bool:
+        """Return whether the results exist; begin to compute them again if not."""
+        if self._is_released and self._rerun_task is None:
+            self._rerun_task = gevent.spawn(self._run_again)
+        return not self.is_released
+
+    def _run_again(self) -> None:
+        try:
+            failure = self.run()
+        except Exception:
+            self.release()
+            raise
+        if failure is not None:
+            self.release()
+
     def release(self) -> None:
         """Release all results and promises, and cancel all pending pieces."""
+        if self._rerun_task not in (None, gevent.getcurrent()):
+            self._rerun_task.kill(block=False)
         if self.plan is not None:
             self.plan.release_unused()
         for pending in self._progress.pending:
