Take a reply whose head is cut as lost in all clients on urllib3

A service stopped in the middle of its answer's head and closed. Callers of the daemon got an empty body as the whole answer (cut behind 'Content-Length:'), or 'refused', which says that the call did not run (4xx or 503 with whole ids). An object of the platform read as empty or as absent, a transaction as not done.

Cause: http.client takes the end of a connection for the end of a head, and a line that is cut for a whole one; informational heads other than 100 for the response. The daemon asked for the name of a framing header, not for its value. Class of fault: the end of the input is taken for the end of a message.

Each line of a head has to end; informational heads are skipped and bounded. is_framed decides whether the end of a body is known, for answers of stages and now for objects.

--- a/libs/ctl/sapphirehoist/ctl/client.py
+++ b/libs/ctl/sapphirehoist/ctl/client.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-import urllib3
 from urllib3.exceptions import HTTPError
 
+from sapphirehoist.http1 import WholeHeadPoolManager
 from sapphirehoist.messages import MalformedMessage, decode_json
 
 T = TypeVar("T")
@@ -49,7 +49,7 @@
     def __init__(self, url: str, token: str, ca_file: str = "") -> None:
         self.url = url.rstrip("/")
         self._headers = {"Authorization": f"Bearer {token}"}
-        self._http_pool = urllib3.PoolManager(retries=False, ca_certs=ca_file or None)
+        self._http_pool = WholeHeadPoolManager(ca_certs=ca_file or None)
 
     @classmethod
     def from_environment(cls, url: str = "") -> OperatorClient:
--- a/libs/endpoints/sapphirehoist/endpoints/http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -6,7 +6,6 @@
 
 import gevent
 import urllib3
-from urllib3.connection import HTTPConnection, HTTPSConnection
 from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -33,6 +32,12 @@
     StreamResumeCall,
     TimedOut,
 )
+from sapphirehoist.http1 import (
+    WholeHeadConnection,
+    WholeHeadPoolManager,
+    WholeHeadTlsConnection,
+    is_framed,
+)
 
 _CONNECT_TIMEOUT_S = 1.0
 _CANCEL_TIMEOUT_S = 1.0
@@ -44,7 +49,7 @@
 _BUSY_STATUSES = (429, 503)
 
 
-class _Http10Connection(HTTPConnection):
+class _Http10Connection(WholeHeadConnection):
     """Sends HTTP/1.0 requests, so that the server ends a stream by disconnecting.
 
     The response then has no chunked encoding to decode. The stream's last event tells
@@ -55,7 +60,7 @@
     _http_vsn_str = "HTTP/1.0"
 
 
-class _Http10TlsConnection(HTTPSConnection):
+class _Http10TlsConnection(WholeHeadTlsConnection):
     """Sends HTTP/1.0 requests over TLS, like `_Http10Connection`."""
 
     _http_vsn = 10
@@ -83,16 +88,12 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._pool_manager = urllib3.PoolManager(
-            num_pools=_MAX_POOLS, maxsize=_MAX_CONNECTIONS_PER_POOL, retries=False
+        self._pool_manager = WholeHeadPoolManager(
+            num_pools=_MAX_POOLS, maxsize=_MAX_CONNECTIONS_PER_POOL
         )
-        self._stream_pool_manager = urllib3.PoolManager(
-            num_pools=_MAX_POOLS, retries=False
+        self._stream_pool_manager = WholeHeadPoolManager(
+            _Http10ConnectionPool, _Http10TlsConnectionPool, num_pools=_MAX_POOLS
         )
-        self._stream_pool_manager.pool_classes_by_scheme = {
-            "http": _Http10ConnectionPool,
-            "https": _Http10TlsConnectionPool,
-        }
 
     def call(self, endpoint: Endpoint, call: StageCall) -> CallOutcome:
         """Call a stage and wait for the complete response."""
@@ -119,7 +120,7 @@
             return Lost(f"{endpoint.name}: {mismatch}")
         if resp.status != _STATUS_OK:
             return _classify_error_status(endpoint, resp.status, body, report)
-        if not _has_framed_body(resp):
+        if not is_framed(resp):
             return Lost(f"{endpoint.name}: the end of the answer is not known")
         return Answered(body, report)
 
@@ -318,11 +319,6 @@
     return f"the answer is for {received}, the call was {expected}"
 
 
-def _has_framed_body(resp: urllib3.BaseHTTPResponse) -> bool:
-    """Return whether a body that was broken off would not look complete."""
-    return "Content-Length" in resp.headers or "Transfer-Encoding" in resp.headers
-
-
 def _parse_report(resp: urllib3.BaseHTTPResponse) -> EndpointReport:
     return EndpointReport(
         _parse_int(resp.headers.get("X-Incarnation")) or 0,
--- a/libs/http1/sapphirehoist/http1/__init__.py
+++ b/libs/http1/sapphirehoist/http1/__init__.py
@@ -1,4 +1,7 @@
-"""HTTP/1.1 server for callers and client for endpoints, based on h11 and gevent."""
+"""HTTP/1.1 server for callers and client for endpoints, based on h11 and gevent.
+
+Also the connection pools of all other clients, which use urllib3.
+"""
 
 from __future__ import annotations
 
@@ -23,6 +26,12 @@
     CallerServer,
     Exchange,
 )
+from sapphirehoist.http1.whole_responses import (
+    WholeHeadConnection,
+    WholeHeadPoolManager,
+    WholeHeadTlsConnection,
+    is_framed,
+)
 
 __all__ = [
     "BodyMemory",
@@ -42,4 +51,8 @@
     "ResponseHead",
     "TcpConnector",
     "TruncatedBody",
+    "WholeHeadConnection",
+    "WholeHeadPoolManager",
+    "WholeHeadTlsConnection",
+    "is_framed",
 ]
--- a/libs/storage/sapphirehoist/storage/http.py
+++ b/libs/storage/sapphirehoist/storage/http.py
@@ -14,6 +14,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
+from sapphirehoist.http1 import WholeHeadPoolManager, is_framed
 from sapphirehoist.messages import MalformedMessage, decode_json, encode_json
 from sapphirehoist.storage.era import StoreEra
 from sapphirehoist.storage.interface import (
@@ -62,7 +63,7 @@
         self.era = StoreEra()
         self._url = url.rstrip("/")
         self._timeout = urllib3.Timeout(connect=min(1.0, timeout_s), read=timeout_s)
-        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+        self._pool = WholeHeadPoolManager(maxsize=8)
 
     def send(
         self, method: str, path: str, body: bytes | None = None
@@ -177,6 +178,8 @@
             return None
         if resp.status != _STATUS_OK:
             return Unavailable(f"get: status {resp.status}")
+        if not is_framed(resp):
+            return Unavailable("get: the end of the object is not known")
         return resp.data
 
     def put(self, key: str, value: bytes) -> Committed | Unavailable | Undecided:
--- a/libs/testing/sapphirehoist/testing/__init__.py
+++ b/libs/testing/sapphirehoist/testing/__init__.py
@@ -4,6 +4,7 @@
 
 from sapphirehoist.testing.caller import Caller, Response, StreamedResponse
 from sapphirehoist.testing.control import post_control, read_json
+from sapphirehoist.testing.cut_replies import CutReplies, Ending
 from sapphirehoist.testing.deployment import Daemon, Deployment, EndpointSpec
 from sapphirehoist.testing.fakes import FakeEndpointClient, FakeVmList, FaultyTable
 from sapphirehoist.testing.in_process import InProcessFleet
@@ -14,8 +15,10 @@
 
 __all__ = [
     "Caller",
+    "CutReplies",
     "Daemon",
     "Deployment",
+    "Ending",
     "EndpointSpec",
     "FakeEndpointClient",
     "FakeVmList",
