Report a reset to the reader of an answer if the sender met it first

An engine began to answer before it had read a long request, with a head that states no length, and its connection was reset.

Cause: the kernel reports the error of a connection once, to the first call. The task that sends a long request met it and dropped it; the read then returned the end of the connection, which ends an answer without a length. Class of fault: an error that one task consumes and another one needs.

EPIPE does not count: the peer had closed its side before, so what it sent is whole.

--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -257,7 +257,7 @@
             self._sock.sendall(head)
             self._sock.sendall(body)
         except OSError:
-            return  # reading from the socket fails too, and reports the error
+            return  # reading fails too, or reaches the end of a whole response
 
     def _read_matching_head(self) -> EndpointResponse | Lost:
         for _ in range(_MAX_MISMATCHED_RESPONSES + 1):
--- a/libs/http1/sapphirehoist/http1/connector.py
+++ b/libs/http1/sapphirehoist/http1/connector.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from gevent import socket
 
@@ -55,6 +55,35 @@
         return True
 
 
+class _TcpEndpointSocket(socket.socket):
+    """TCP socket that reports a reset to its reader even if its writer met it first.
+
+    The kernel reports the error of a connection once, to the first call. After that, a
+    reset connection reads as one that the peer has closed, which ends a response that
+    has no length.
+    """
+
+    _is_reset = False
+
+    def sendall(self, data: Any, flags: int = 0) -> None:
+        """Send all of `data`."""
+        try:
+            super().sendall(data, flags)
+        except BrokenPipeError:
+            # The peer had closed its side before, so that what it sent is whole.
+            raise
+        except OSError:
+            self._is_reset = True
+            raise
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        """Return received bytes, at most `size`; empty bytes at the end."""
+        data: bytes = super().recv(size, flags)
+        if not data and self._is_reset:
+            raise ConnectionResetError("reset while a request was sent")
+        return data
+
+
 class TcpConnector(EndpointConnector):
     """Opens TCP connections from this VM, which no other VM relays."""
 
@@ -63,7 +92,7 @@
     ) -> EndpointSocket | NotSent:
         """Return a socket that is connected to ``IP:PORT``, or why there is none."""
         host, _, port = address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = _TcpEndpointSocket(socket.AF_INET, socket.SOCK_STREAM)
         is_connected = False
         try:
             configure_tcp_socket(sock)
