Add a soak of streams behind engines that fall silent

The soak starts gateway processes and full engines of 16 slots. The configuration changes, 0.6 s later engines fall silent for 1.0 to 1.3 s, also in the middle of an event, and then send several events at once. Engines break off, restart, send comments and events with two ids, and answer the request to go on wrongly, each of which can be left out. Gateways get SIGHUP or SIGTERM, the store is slow, callers take streams up. Each stream is checked byte by byte.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 JOBS ?= 1
 SUITES := $(addprefix suite/,libs platform $(sort $(wildcard tests/test_*.py)))
 
-.PHONY: setup demo demo-platform test lint format bench slopes soak $(SUITES)
+.PHONY: setup demo demo-platform test lint format bench slopes soak soak-streams $(SUITES)
 
 setup: $(VENV)/.done
 
@@ -47,5 +47,8 @@
 soak: setup
 	$(BIN)/python soak/play.py --seeds=$(SEEDS) --seconds=$(SECONDS) --nodes=$(NODES)
 
+soak-streams: setup
+	$(BIN)/python soak/ordered_streams.py --seeds=$(SEEDS) --seconds=$(SECONDS)
+
 slopes: setup
 	$(BIN)/python bench/slopes.py
--- /dev/null
+++ b/tests/test_ordered_streams.py
@@ -0,0 +1,89 @@
+"""Checks of the soak of streams, and a short soak with one seed."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from stream_checker import StreamChecker, make_event
+
+_SOAK_SCRIPT = Path(__file__).parents[1] / "soak" / "ordered_streams.py"
+_TIMEOUT_S = 300
+_FIRST_EVENTS = make_event("s/0", 1) + b": comment\n\n" + make_event("s/0", 2, 2)
+
+
+def find_violation(data: bytes, is_complete: bool) -> str:
+    checker = StreamChecker("s", 4)
+    for number in range(len(data)):
+        checker.feed(data[number : number + 1])
+    checker.end(is_complete)
+    return checker.violation
+
+
+class TestStreamChecker:
+    def test_whole_stream(self) -> None:
+        data = _FIRST_EVENTS + make_event("s/0", 4)
+        assert not find_violation(data, is_complete=True)
+        assert find_violation(data + make_event("s/0", 5), is_complete=True)
+        assert find_violation(data + b"id", is_complete=True)
+
+    def test_stream_that_was_cut_off(self) -> None:
+        data = _FIRST_EVENTS + make_event("s/0", 4)
+        for length in range(len(data)):
+            assert not find_violation(data[:length], is_complete=False)
+            assert find_violation(data[:length], is_complete=True)
+
+    @pytest.mark.parametrize(
+        "bad",
+        [
+            make_event("s/0", 3),
+            make_event("s/0", 1),
+            make_event("s/0", 5),
+            make_event("t/0", 4),
+            make_event("s/1", 4),
+            make_event("s/0", 4)[:7] + make_event("s/0", 4),
+            b"data: s/0-4\n\n",
+            b"upstream connect error\n\n",
+            b"upstream connect error",
+            b"id: 3\n",
+        ],
+        ids=[
+            "again",
+            "back",
+            "gap",
+            "other stream",
+            "other run",
+            "part of an event",
+            "no id",
+            "text",
+            "part of a text",
+            "part of an event again",
+        ],
+    )
+    def test_what_does_not_follow(self, bad: bytes) -> None:
+        assert find_violation(_FIRST_EVENTS + bad, is_complete=False)
+
+    def test_stream_of_another_request(self) -> None:
+        assert find_violation(make_event("t/0", 1), is_complete=False)
+
+
+def test_no_stream_is_out_of_order_behind_engines_that_fall_silent() -> None:
+    """Guards against parts of events of two engines that are joined, events that come
+    twice and answers that continue nothing, with real processes.
+    """
+    completed = subprocess.run(
+        [
+            sys.executable,
+            str(_SOAK_SCRIPT),
+            "--seeds=1",
+            "--seconds=8",
+            "--nodes=2",
+            "--callers=150",
+        ],
+        capture_output=True,
+        text=True,
+        timeout=_TIMEOUT_S,
+    )
+    assert completed.returncode == 0, completed.stdout + completed.stderr[-4_000:]
