--- a/soak/ordered_streams.py
+++ b/soak/ordered_streams.py
@@ -271,7 +271,8 @@
             soak.close()
         for violation in violations:
             print(f"seed {seed}: {violation}")
-            print(*soak.find_log_lines(violation), sep="\n")
+            for line in soak.find_log_lines(violation):
+                print(f"  {line}")
         outcomes = dict(soak.callers.outcomes)
         print(f"seed {seed}: {len(violations)} violations; {outcomes}", flush=True)
         if violations:
--- a/tests/test_ordered_streams.py
+++ b/tests/test_ordered_streams.py
@@ -69,21 +69,21 @@
         assert find_violation(make_event("t/0", 1), is_complete=False)
 
 
-def test_no_stream_is_out_of_order_behind_engines_that_fall_silent() -> None:
-    """Guards against parts of events of two engines that are joined, events that come
-    twice and answers that continue nothing, with real processes.
-    """
-    completed = subprocess.run(
-        [
-            sys.executable,
-            str(_SOAK_SCRIPT),
-            "--seeds=1",
-            "--seconds=8",
-            "--nodes=2",
-            "--callers=150",
-        ],
-        capture_output=True,
-        text=True,
-        timeout=_TIMEOUT_S,
+def run_soak(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, str(_SOAK_SCRIPT), *arguments]
+    sizes = ["--seconds=8", "--nodes=2", "--callers=150"]
+    return subprocess.run(
+        [*command, *sizes], capture_output=True, text=True, timeout=_TIMEOUT_S
     )
+
+
+def test_no_stream_is_out_of_order_behind_sound_engines_that_fall_silent() -> None:
+    """Guards against a part of a first event that is joined to the next engine's."""
+    completed = run_soak("--seeds=3", "--faults=none")
+    assert completed.returncode == 0, completed.stdout + completed.stderr[-4_000:]
+
+
+def test_no_stream_is_out_of_order_behind_faulty_engines_that_fall_silent() -> None:
+    """Guards against events that come twice and answers that continue nothing."""
+    completed = run_soak("--seeds=1", "--faults=all")
     assert completed.returncode == 0, completed.stdout + completed.stderr[-4_000:]
