Give stages that run again in a stream the time of its response

A staged stream that broke off later than the limit for its first event was cut, though another engine could go on: its stages ran again with that limit, which had passed. They now have the time limit of the response once its first bytes are sent.

Measured: test_stream_that_breaks_off_late_goes_on fails before, and the five cases of TestStagedStreams pass.

--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -526,7 +526,7 @@
             if (
                 wait_s <= 0
                 and self._may_retry(context, progress)
-                and (inputs is None or inputs.prepare_again())
+                and (inputs is None or inputs.prepare_again(context.time_limit_at))
             ):
                 return TruncatedBody(f"no event for {now - last_event_at:.2f} s")
             ends_at = now + (wait_s if wait_s > 0 else _RECHECK_INTERVAL_S)
--- a/libs/gateway/sapphirehoist/gateway/handler.py
+++ b/libs/gateway/sapphirehoist/gateway/handler.py
@@ -465,6 +465,9 @@
         """
         for _ in range(_MAX_INPUT_REBUILDS + 1):
             started_at = self._clock.monotonic()
+            if progress.relay.is_started:
+                # The limit for the first bytes has no meaning any more.
+                stage_runner.set_deadline(context.time_limit_at)
             failure = stage_runner.run()
             trace.stages_duration_s = self._clock.monotonic() - started_at
             trace.stage_end_times_s = dict(stage_runner.end_s_by_stage)
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -168,10 +168,11 @@
         """Return whether the results were released."""
 
     @abstractmethod
-    def prepare_again(self) -> bool:
+    def prepare_again(self, deadline_at: float) -> bool:
         """Return whether the results exist; begin to compute them again if not.
 
-        They are computed in the background, once at most.
+        They are computed in the background, once at most, by the monotonic time
+        `deadline_at`.
         """
 
     @abstractmethod
--- a/libs/gateway/sapphirehoist/gateway/stage_runner.py
+++ b/libs/gateway/sapphirehoist/gateway/stage_runner.py
@@ -264,9 +264,15 @@
         if not plan.is_on_time:
             self._target_at = min(self._target_at, self._clock.monotonic())
 
-    def prepare_again(self) -> bool:
+    def set_deadline(self, deadline_at: float) -> None:
+        """Replace the limit, once the caller has the first bytes of its response."""
+        self._deadline_at = deadline_at
+        self._pieces_limit_at = self._limit_to_stop(deadline_at)
+
+    def prepare_again(self, deadline_at: float) -> bool:
         """Return whether the results exist; begin to compute them again if not."""
         if self._is_released and self._rerun_task is None:
+            self.set_deadline(deadline_at)
             self._rerun_task = gevent.spawn(self._run_again)
         return not self.is_released
 
