--- a/libs/decisions/sapphirehoist/decisions/stream_continuity.py
+++ b/libs/decisions/sapphirehoist/decisions/stream_continuity.py
@@ -71,8 +71,6 @@
         Number of admitted events, without the final one.
     has_ended : bool
         Whether the final event was admitted.
-    first_event_id : str
-        Id of the first event of the present answer; empty for none yet.
     """
 
     __slots__ = (
@@ -88,7 +86,6 @@
         "_is_last_event_identified",
         "_splitter",
         "event_count",
-        "first_event_id",
         "has_ended",
         "last_event_id",
     )
@@ -111,7 +108,6 @@
         self._consecutive_id_count = 0
         self.event_count = 0
         self.has_ended = False
-        self.first_event_id = ""
         self.last_event_id = last_event_id
 
     @property
@@ -138,7 +134,6 @@
         """
         self.discard_unadmitted()
         self._answer_event_count = 0
-        self.first_event_id = ""
         self._is_continuation = bool(self.last_event_id) or self._has_admitted_bytes
         self._is_event_stream = not content_type or is_event_stream(content_type)
         if not self._is_continuation:
@@ -231,7 +226,6 @@
                 self._consecutive_id_count = -1
             elif self._consecutive_id_count >= 0 and self.last_event_id:
                 self._consecutive_id_count += 1
-            self.first_event_id = self.first_event_id or event_id
             self.last_event_id = event_id
 
 
