Keep the platform's field names out of the soak of streams

The stand-ins there now make a route's times, the service of engines and the time after which callers give up.

--- a/soak/ordered_streams.py
+++ b/soak/ordered_streams.py
@@ -40,8 +40,10 @@
     StoreStandIn,
     compute_pieces,
     config,
+    generation_service,
     request_id_of,
     route,
+    stream_times,
 )
 
 _MAX_CALLERS = 300
@@ -175,13 +177,13 @@
             operation()
 
     def _add_route(self, name: str, latency_ms: int = 400, **more: Any) -> None:
-        targets = {"timeoutMs": 8000, "targetLatencyMs": latency_ms, "gapAimMs": 100}
-        self._routes.append(route(name, "streaming", "model", **targets, **more))
+        times = stream_times(8000, 100, latency_ms)
+        self._routes.append(route(name, "streaming", "model", **times, **more))
 
     def _publish(self) -> None:
         self._version += 2
         services = [
-            {"name": "model", "engine": {"slots": SLOTS, "kvCapacityTokens": 100_000}},
+            generation_service("model", SLOTS),
             {"name": "encode", "pieces": PIECES},
             {"name": "rank", "pieces": PIECES},
         ]
@@ -194,10 +196,10 @@
         if change == "idle":
             self._limits = {"idleTimeoutMs": self._random.randint(5_000, 15_000)}
         elif change == "timeout":
-            changed = {
-                "timeoutMs": self._random.choice((6000, 8000)),
-                "gapAimMs": self._random.choice((100, 200, 400)),
-            }
+            changed = stream_times(
+                self._random.choice((6000, 8000)),
+                self._random.choice((100, 200, 400)),
+            )
             self._routes = [old | changed for old in self._routes]
         else:
             self._add_route(f"ask-{self._version}", streamResume=True)
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -14,7 +14,10 @@
 from stream_checker import StreamChecker
 from stream_engine import EVENT_COUNT
 
-from sapphirehoist.adapter.tests.standins import caller_headers
+from sapphirehoist.adapter.tests.standins import (
+    caller_gap_limit_s,
+    caller_headers,
+)
 
 _MIN_DEADLINE_S, _MAX_DEADLINE_S = 3.0, 8.0
 _MAX_RESPONSES = 4
@@ -93,13 +96,7 @@
             else:
                 first_id = request_id
             url = f"http://{daemon.caller_address}{route_row['prefix']}{stream}"
-            # Callers give up after this time without an event.
-            timeout_s = max(
-                2.0,
-                route_row["targetLatencyMs"] * 4 / 1000,
-                route_row["gapAimMs"] * 8 / 1000,
-            )
-            self._receive(pool, url, headers, timeout_s, checker)
+            self._receive(pool, url, headers, caller_gap_limit_s(route_row), checker)
             if checker.violation:
                 self.violations.append(
                     f"{request_id} {route_row['name']}: {checker.violation}"
