--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,12 @@
 NODES ?= 4
 # Each test over processes starts up to ten; two fail at times beside other suites.
 JOBS ?= 1
-SUITES := $(addprefix suite/,libs platform $(sort $(wildcard tests/test_*.py)))
+# Crowds of clients run one at a time and apart from other suites.
+CROWDS := $(sort $(wildcard tests/test_crowded_*.py))
+SUITES := $(addprefix suite/,libs platform $(filter-out $(CROWDS),$(sort $(wildcard tests/test_*.py))))
+CROWD_SUITES := $(addprefix suite/,$(CROWDS))
 
-.PHONY: setup demo demo-platform test lint format bench slopes soak soak-streams $(SUITES)
+.PHONY: setup demo demo-platform test lint format bench slopes soak soak-streams $(SUITES) $(CROWD_SUITES)
 
 setup: $(VENV)/.done
 
@@ -27,9 +30,12 @@
 	$(BIN)/python -m sapphirehoist.adapter.tests.demo
 
 test: setup lint
-	@$(MAKE) --no-print-directory --keep-going --jobs=$(JOBS) --output-sync=target $(SUITES)
+	@status=0; \
+	$(MAKE) --no-print-directory --keep-going --jobs=$(JOBS) --output-sync=target $(SUITES) || status=1; \
+	$(MAKE) --no-print-directory --keep-going --jobs=1 $(CROWD_SUITES) || status=1; \
+	exit $$status
 
-$(SUITES): suite/%: setup
+$(SUITES) $(CROWD_SUITES): suite/%: setup
 	$(BIN)/python -m pytest $*
 
 lint: setup
