Count all bytes of callers at the front, and bound its connections

Cause: the memory budget counted bodies and buffered responses only. Each connection could hold 256 KB read ahead and 64 KB in its parser; a head of 4,000 short fields takes 2 MB as texts; parts of a body were kept one by one, up to 20 times their bytes. Nothing bounded the number of connections, and a request that stopped just before its end held its memory for as long as it lasted. Change, by class: what one connection may hold (16 KB read ahead; the kernel's buffer; fields are counted at 512 B), what all together may (connections and requests share the budget; small requests get the last tenth, which large ones cannot fill), how many there are (a quarter of the descriptors, at most 1,280). Without room, OpenConnections in libs/decisions names what gives way: what has waited longest for its caller, never a request that is answered. An unfinished request that gives way gets 503: it has not run. Names: BodyMemory is now RequestMemory; the server is split into request, exchange, connection and server.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -66,6 +66,12 @@
     SelfSheddingBudget,
     budget_bytes,
 )
+from sapphirehoist.decisions.open_connections import (
+    ConnectionPhase,
+    LongestWaitingGivesWay,
+    NewestIsRefused,
+    OpenConnections,
+)
 from sapphirehoist.decisions.path_evidence import (
     PathObservation,
     PathVerdict,
@@ -148,6 +154,7 @@
     "BudgetedRetry",
     "CallerTimeouts",
     "ClassStatistics",
+    "ConnectionPhase",
     "CrashQuarantine",
     "Distance",
     "EarliestStartPolicy",
@@ -174,9 +181,12 @@
     "LeastInFlightRouting",
     "LeastLoadedPlacement",
     "LimitState",
+    "LongestWaitingGivesWay",
     "MemoryBudget",
     "NearestStageEndpointPolicy",
+    "NewestIsRefused",
     "NotAdmitted",
+    "OpenConnections",
     "PaceState",
     "PathObservation",
     "PathVerdict",
--- a/libs/decisions/sapphirehoist/decisions/memory_budget.py
+++ b/libs/decisions/sapphirehoist/decisions/memory_budget.py
@@ -1,4 +1,4 @@
-"""Division of a VM's memory among responses to slow callers and request bodies.
+"""Division of a VM's memory among responses to slow callers, and requests.
 
 It responds to callers that read slowly or stop reading while their response goes on,
 and to endpoints that accept large requests slowly. The largest response is shed first:
@@ -17,9 +17,12 @@
 # are parsed, joined or copied into the kernel.
 _BUDGET_SHARE = 0.5
 _MIN_BUDGET_BYTES = 4_000_000
-# Bodies cannot be shed. What they leave free keeps large requests from cutting off
-# every slow reader.
-_BODY_SHARE = 0.75
+# Requests that are answered cannot be shed. What they leave free keeps large requests
+# from cutting off every slow reader.
+_REQUEST_SHARE = 0.75
+# Connections and small requests may take more, so that large ones do not keep them out.
+_SMALL_REQUEST_BYTES = 65_536
+_SMALL_REQUEST_SHARE = 0.85
 
 
 def budget_bytes(memory_mb: float) -> int:
@@ -48,8 +51,11 @@
     ----------
     used_bytes : int
         Bytes held now.
-    body_bytes : int
-        Bytes of request bodies among them.
+    request_bytes : int
+        Bytes of requests among them.
+    connection_bytes : int
+        Bytes that open connections take, whether they carry a request or not; they
+        are not part of `used_bytes`.
 
     Examples
     --------
@@ -63,35 +69,72 @@
     True
     """
 
-    __slots__ = ("_held_bytes", "body_bytes", "capacity_bytes", "used_bytes")
+    __slots__ = (
+        "_held_bytes",
+        "capacity_bytes",
+        "connection_bytes",
+        "request_bytes",
+        "used_bytes",
+    )
 
     def __init__(self, capacity_bytes: int) -> None:
         self.capacity_bytes = capacity_bytes
         self.used_bytes = 0
-        self.body_bytes = 0
+        self.request_bytes = 0
+        self.connection_bytes = 0
         self._held_bytes: dict[Hashable, int] = {}
 
-    def reserve_body(self, byte_count: int) -> bool:
-        """Reserve memory for a part of a request body, if it fits."""
-        body_bytes = self.body_bytes + byte_count
-        if (
-            body_bytes > self.capacity_bytes * _BODY_SHARE
-            or self.used_bytes + byte_count > self.capacity_bytes
-        ):
+    def reserve_connection(self, byte_count: int) -> bool:
+        """Reserve memory for a connection, if it fits."""
+        if not self._fits_incoming(byte_count, _SMALL_REQUEST_SHARE):
             return False
-        self.body_bytes = body_bytes
+        self.connection_bytes += byte_count
+        return True
+
+    def release_connection(self, byte_count: int) -> None:
+        """Release the memory of a connection."""
+        assert 0 <= byte_count <= self.connection_bytes
+        self.connection_bytes -= byte_count
+
+    def reserve_request(self, byte_count: int, held_bytes: int = 0) -> bool:
+        """Reserve memory for a part of a request, if it fits.
+
+        Parameters
+        ----------
+        byte_count : int
+            Bytes of the part.
+        held_bytes : int
+            Bytes that the request holds already.
+        """
+        is_small = held_bytes + byte_count <= _SMALL_REQUEST_BYTES
+        share = _SMALL_REQUEST_SHARE if is_small else _REQUEST_SHARE
+        if not self._fits_incoming(byte_count, share):
+            return False
+        self.request_bytes += byte_count
         self.used_bytes += byte_count
         return True
 
-    def release_body(self, byte_count: int) -> None:
-        """Release the memory of a request body."""
-        assert 0 <= byte_count <= self.body_bytes
-        self.body_bytes -= byte_count
+    def _fits_incoming(self, byte_count: int, share: float) -> bool:
+        """Return whether a part fits into `share` of the budget, and into what is free.
+
+        The share is what connections and requests may take together.
+        """
+        incoming_bytes = self.request_bytes + self.connection_bytes + byte_count
+        return incoming_bytes <= self.capacity_bytes * share and self._fits(byte_count)
+
+    def _fits(self, byte_count: int) -> bool:
+        used_bytes = self.used_bytes + self.connection_bytes
+        return used_bytes + byte_count <= self.capacity_bytes
+
+    def release_request(self, byte_count: int) -> None:
+        """Release memory of a request."""
+        assert 0 <= byte_count <= self.request_bytes
+        self.request_bytes -= byte_count
         self.used_bytes -= byte_count
 
     def reserve(self, response: Hashable, byte_count: int) -> bool:
         """Reserve memory for a part of a response, if it fits."""
-        if self.used_bytes + byte_count > self.capacity_bytes:
+        if not self._fits(byte_count):
             return False
         self.used_bytes += byte_count
         self._held_bytes[response] = self._held_bytes.get(response, 0) + byte_count
--- a/libs/decisions/sapphirehoist/decisions/tests/test_memory_budget.py
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_memory_budget.py
@@ -44,7 +44,7 @@
 
 def test_bodies_leave_memory_for_responses() -> None:
     budget = MemoryBudget(CAPACITY_BYTES)
-    assert budget.reserve_body(700_000)
-    assert not budget.reserve_body(100_000)
+    assert budget.reserve_request(700_000)
+    assert not budget.reserve_request(100_000)
     assert budget.reserve("a", 300_000)
     assert not budget.reserve("b", 1)
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -49,7 +49,6 @@
 from sapphirehoist.gateway.addresses import NodeAddresses
 from sapphirehoist.gateway.attempt import AttemptSender
 from sapphirehoist.gateway.attempt_recorder import AttemptRecorder
-from sapphirehoist.gateway.body_memory import RequestBodyMemory
 from sapphirehoist.gateway.brittle_guard import BrittleGuard
 from sapphirehoist.gateway.candidates import EndpointCandidates
 from sapphirehoist.gateway.codec import CallCodec
@@ -71,6 +70,7 @@
 from sapphirehoist.gateway.prompt_broadcast import PromptBroadcaster
 from sapphirehoist.gateway.region_read_sharing import RegionReaders
 from sapphirehoist.gateway.request_checks import RequestChecks
+from sapphirehoist.gateway.request_memory import BudgetedRequestMemory
 from sapphirehoist.gateway.stage_admission import StageAdmission
 from sapphirehoist.gateway.stage_scheduler import StageScheduler
 from sapphirehoist.gateway.stream_origin_journal import StreamOriginJournal
@@ -670,14 +670,14 @@
             self._caller_limits,
             clock,
             metrics,
-            self._build_body_memory(),
+            self._build_request_memory(),
         )
 
-    def _build_body_memory(self) -> RequestBodyMemory | None:
+    def _build_request_memory(self) -> BudgetedRequestMemory | None:
         if self.memory is None:
             return None
         dependencies = self._dependencies
-        return RequestBodyMemory(
+        return BudgetedRequestMemory(
             self.memory,
             dependencies.codec,
             dependencies.clock,
--- a/libs/gateway/sapphirehoist/gateway/body_memory.py
+++ b/libs/gateway/sapphirehoist/gateway/request_memory.py
@@ -1,4 +1,4 @@
-"""Holds request bodies within the memory budget, and refuses those that do not fit."""
+"""Holds requests within the memory budget, and refuses those that do not fit."""
 
 from __future__ import annotations
 
@@ -12,17 +12,17 @@
 from sapphirehoist.http1 import RequestHead, ResponseHead
 from sapphirehoist.observability import Metrics
 
-# Bodies are held until their response is complete, which takes about a second.
+# Requests are held until their response is complete, which takes about a second.
 _MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S = 0.5, 0.75
 
 
-class RequestBodyMemory:
-    """Reserves memory for request bodies before they are received.
+class BudgetedRequestMemory:
+    """Reserves memory for connections and requests before they are received.
 
     Parameters
     ----------
     budget : MemoryBudget
-        Memory of the VM that bodies share with buffered responses.
+        Memory of the VM that requests share with buffered responses.
     codec : CallCodec
         Decodes the heads of refused requests, for the log.
     clock : Clock
@@ -49,18 +49,26 @@
         self._random = random
         self._metrics = metrics
 
-    def reserve(self, byte_count: int) -> bool:
-        """Reserve memory for a part of a body, if it fits."""
-        return self._budget.reserve_body(byte_count)
+    def reserve_connection(self, byte_count: int) -> bool:
+        """Reserve memory for a connection, if it fits."""
+        return self._budget.reserve_connection(byte_count)
+
+    def release_connection(self, byte_count: int) -> None:
+        """Release the memory of a connection."""
+        self._budget.release_connection(byte_count)
+
+    def reserve(self, byte_count: int, held_bytes: int) -> bool:
+        """Reserve memory for a request that holds `held_bytes`, if it fits."""
+        return self._budget.reserve_request(byte_count, held_bytes)
 
     def release(self, byte_count: int) -> None:
-        """Release the memory of a body."""
-        self._budget.release_body(byte_count)
+        """Release the memory of a request."""
+        self._budget.release_request(byte_count)
 
     def refuse(
         self, head: RequestHead, first_byte_at: float
     ) -> tuple[ResponseHead, bytes]:
-        """Log and return the response to a request whose body does not fit."""
+        """Log and return the response to a request that does not fit."""
         trace = RequestTrace(self._clock, first_byte_at)
         metadata = self._codec.decode_request(head)
         if not isinstance(metadata, DecodeFailure):
@@ -68,7 +76,7 @@
         error = ErrorResponse(
             ErrorReason.MEMORY_FULL,
             f"{self._budget.used_bytes} of {self._budget.capacity_bytes} B are held,"
-            f" {self._budget.body_bytes} B of them request bodies",
+            f" {self._budget.request_bytes} B of them for requests",
             self._random.uniform(_MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S),
         )
         trace.log_outcome(error.reason.value, error.status, error.detail)
--- a/libs/http1/sapphirehoist/http1/__init__.py
+++ b/libs/http1/sapphirehoist/http1/__init__.py
@@ -5,6 +5,12 @@
 
 from __future__ import annotations
 
+from sapphirehoist.http1.caller_request import (
+    CallerDisconnected,
+    CallerRequest,
+    ReadLimits,
+    RequestMemory,
+)
 from sapphirehoist.http1.client import (
     EndpointConnectionPool,
     EndpointResponse,
@@ -18,14 +24,9 @@
     NotSent,
     TcpConnector,
 )
+from sapphirehoist.http1.exchange import Exchange
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
-from sapphirehoist.http1.server import (
-    BodyMemory,
-    CallerDisconnected,
-    CallerRequest,
-    CallerServer,
-    Exchange,
-)
+from sapphirehoist.http1.server import CallerServer
 from sapphirehoist.http1.whole_responses import (
     WholeHeadConnection,
     WholeHeadPoolManager,
@@ -34,7 +35,6 @@
 )
 
 __all__ = [
-    "BodyMemory",
     "CallerDisconnected",
     "CallerRequest",
     "CallerServer",
@@ -47,7 +47,9 @@
     "Lost",
     "NotSent",
     "OutboundRequest",
+    "ReadLimits",
     "RequestHead",
+    "RequestMemory",
     "ResponseHead",
     "TcpConnector",
     "TruncatedBody",
--- a/libs/http1/sapphirehoist/http1/messages.py
+++ b/libs/http1/sapphirehoist/http1/messages.py
@@ -40,6 +40,11 @@
     def __init__(self, items: Iterable[tuple[str, str]] = ()) -> None:
         self._items = [(name.lower(), value) for name, value in items]
 
+    @property
+    def field_count(self) -> int:
+        """Return the number of fields."""
+        return len(self._items)
+
     def get(self, name: str, default: str = "") -> str:
         """Return the first value of header `name`, or `default`."""
         lower_name = name.lower()
