Let callers take turns whose input is there already

Cause: cooperative tasks switch when they wait for input. 64 KB hold 11,000 chunks of a byte, which were parsed in one go; a head of 4,000 fields takes 30 ms, and 600 of them came at a time. Change: a task waits for its turn after 32 parts of a body, before it parses a large block of a head, and before a request that was sent ahead.

--- a/libs/http1/sapphirehoist/http1/caller_connection.py
+++ b/libs/http1/sapphirehoist/http1/caller_connection.py
@@ -29,7 +29,7 @@
 from sapphirehoist.http1.exchange import Exchange
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
 from sapphirehoist.observability import Metrics
-from sapphirehoist.sockets import configure_tcp_socket, reset_on_close
+from sapphirehoist.sockets import WorkTurns, configure_tcp_socket, reset_on_close
 
 _logger = logging.getLogger(__name__)
 
@@ -42,6 +42,9 @@
 _STATUS_BAD_REQUEST = 400
 _STATUS_REQUEST_TIMEOUT = 408
 _STATUS_CONTENT_TOO_LARGE = 413
+# Work after which a task waits for its turn: parts of a body, and bytes of a head.
+_PARTS_PER_TURN = 32
+_HEAD_BYTES_PER_TURN = 4_096
 
 
 class ConnectionOwner(ABC):
@@ -50,6 +53,7 @@
     __slots__ = ()
 
     request_memory: RequestMemory | None
+    turns: WorkTurns
     interrupts_handlers: bool
     is_closing: bool
 
@@ -364,6 +368,10 @@
         self._first_byte_at = 0.0
         self._received_bytes = 0
         self._owner.enter(self, ConnectionPhase.IDLE)
+        part_count = 0
+        if self._parser.trailing_data[0] or self._received_blocks:
+            # The caller sends requests ahead of their responses.
+            self._owner.turns.wait()
         while True:
             if self._refusal is not None:
                 return self._refusal
@@ -381,6 +389,9 @@
             elif isinstance(event, h11.Request):
                 invalid = self._accept_head(event, limits)
             elif isinstance(event, h11.Data):
+                part_count += 1
+                if part_count % _PARTS_PER_TURN == 0:
+                    self._owner.turns.wait()
                 invalid = self._accept_part(event.data, limits)
             elif isinstance(event, h11.EndOfMessage):
                 return self._complete_request()
@@ -445,8 +456,12 @@
             self._begin_request()
         block = self._take_block()
         self._received_bytes += len(block)
-        if self._head is None and not self._reserve(self._received_bytes):
-            return InvalidRequest(_STATUS_REQUEST_TIMEOUT, "no memory for the head")
+        if self._head is None:
+            if len(block) >= _HEAD_BYTES_PER_TURN:
+                self._owner.turns.wait()
+            if not self._reserve(self._received_bytes):
+                detail = "no memory for the head"
+                return InvalidRequest(_STATUS_REQUEST_TIMEOUT, detail)
         self._parser.receive_data(block)
         return None
 
--- a/libs/http1/sapphirehoist/http1/server.py
+++ b/libs/http1/sapphirehoist/http1/server.py
@@ -30,7 +30,7 @@
 )
 from sapphirehoist.http1.exchange import Exchange
 from sapphirehoist.observability import Metrics
-from sapphirehoist.sockets import ConnectionCounts
+from sapphirehoist.sockets import ConnectionCounts, WorkTurns
 
 _ACCEPT_BACKLOG = 1_024
 # Accepted at a time, so that connections that give way are closed in between.
@@ -82,6 +82,7 @@
         "interrupts_handlers",
         "is_closing",
         "request_memory",
+        "turns",
     )
 
     def __init__(
@@ -101,6 +102,7 @@
         self._limits = limits
         self.request_memory = request_memory
         self.interrupts_handlers = interrupts_handlers
+        self.turns = WorkTurns()
         self.is_closing = False
         self._clock = clock
         self._metrics = metrics
--- a/libs/http1/sapphirehoist/http1/tests/test_connection_limits.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_connection_limits.py
@@ -191,3 +191,22 @@
             assert sock.recv(65_536).startswith(b"HTTP/1.1 503 ")
         gevent.sleep(0.1)
         assert running_server.memory.free_bytes == 60_000
+
+
+def test_other_callers_are_served_between_parts_of_a_body(
+    running_server: RunningServer,
+) -> None:
+    """A block of tiny chunks used to be parsed while all other tasks waited."""
+    answered_after: list[int] = []
+    busy = [running_server.connect() for _ in range(2)]
+    for sock in busy:
+        sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        sock.sendall(b"1\r\nx\r\n" * 2_500)
+    with running_server.connect() as sock:
+        sock.sendall(GET_REQUEST)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        answered_after.append(len(running_server.backend.requests))
+    for sock in busy:
+        sock.sendall(b"0\r\n\r\n")
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
+    assert answered_after == [1]
