Hold large answers once, and count them until their callers have them

Cause: an answer existed four times: as blocks and joined, encoded with its head, and buffered; the budget counted one copy, and none while the handler held it. Blocks kept one by one, and glibc's threshold that grows with what is freed, left gaps in the heap. A response that needs memory goes on only after the one that was shed has let go of its bytes.

--- a/libs/gateway/sapphirehoist/gateway/buffered_relay.py
+++ b/libs/gateway/sapphirehoist/gateway/buffered_relay.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 
 import gevent
 from gevent.event import Event
@@ -67,7 +68,8 @@
         self._exchange = exchange
         self._budget = budget
         self._metrics = metrics
-        self._pending = bytearray()
+        # Views of the written bytes, which are not copied.
+        self._pending: deque[memoryview] = deque()
         self._collected_bytes = 0
         self._cut_detail = ""
         self._drained: Event | None = None
@@ -79,6 +81,8 @@
     def collect(self, byte_count: int) -> None:
         """Reserve memory for a part of a body that is read before it is written.
 
+        It is held until the end of the response, beside what is buffered of it.
+
         Raises
         ------
         ResponseCut
@@ -88,7 +92,7 @@
         self._collected_bytes += byte_count
 
     def release_collected(self) -> None:
-        """Release the memory of a body that is about to be written, or discarded."""
+        """Release the memory of a body that is discarded."""
         if self._collected_bytes:
             self._budget.release(self, self._collected_bytes)
             self._collected_bytes = 0
@@ -101,7 +105,6 @@
         ResponseCut
             If this response was shed, or is the largest one and does not fit.
         """
-        self.release_collected()
         if self._cut_detail:
             self._raise_cut(self._cut_detail)
         written_count = 0
@@ -110,7 +113,7 @@
             if written_count == len(data):
                 return
         self._reserve(len(data) - written_count)
-        self._pending += memoryview(data)[written_count:]
+        self._pending.append(memoryview(data)[written_count:])
         if self._writer_task is None:
             self._metrics.count("responses_buffered_total")
             self._writer_task = gevent.spawn(self._write_pending)
@@ -133,6 +136,8 @@
             detail = victim._shed()
             if victim is self:
                 self._raise_cut(detail)
+            # Its handler lets go of its bytes before this response gets more.
+            gevent.sleep(0)
 
     def _shed(self) -> str:
         """Discard what is buffered, end the response, and return the reason."""
@@ -175,7 +180,7 @@
 
     def _discard(self) -> None:
         self._budget.release(self, self._budget.held_bytes(self))
-        self._pending = bytearray()
+        self._pending = deque()
         self._collected_bytes = 0
         if self._writer_task not in (None, gevent.getcurrent()):
             self._writer_task.kill(block=False)
@@ -185,12 +190,15 @@
         pending = self._pending
         try:
             while pending:
-                block = bytes(pending[:_BLOCK_BYTES])
+                view = pending[0]
                 with gevent.Timeout(READ_TIMEOUT_S):
-                    written_count = self._exchange.write_some(block)
+                    written_count = self._exchange.write_some(view[:_BLOCK_BYTES])
                 if pending is not self._pending:
                     return
-                del pending[:written_count]
+                if written_count < len(view):
+                    pending[0] = view[written_count:]
+                else:
+                    pending.popleft()
                 self._budget.release(self, written_count)
         except gevent.Timeout:
             self._cut(f"the caller read nothing for {READ_TIMEOUT_S:.0f} s")
--- a/libs/http1/sapphirehoist/http1/__init__.py
+++ b/libs/http1/sapphirehoist/http1/__init__.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from sapphirehoist.http1.allocator import return_large_buffers
 from sapphirehoist.http1.caller_request import (
     CallerDisconnected,
     CallerRequest,
@@ -57,4 +58,5 @@
     "WholeHeadPoolManager",
     "WholeHeadTlsConnection",
     "is_framed",
+    "return_large_buffers",
 ]
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -93,18 +93,18 @@
 
         `on_block` is called with the size of each block before it is kept.
         """
-        blocks, size = [], 0
+        # Blocks that are kept one by one would fragment the heap.
+        body = bytearray()
         while block := self.read_block():
             if isinstance(block, TruncatedBody):
                 return block
             if on_block is not None:
                 on_block(len(block))
-            blocks.append(block)
-            size += len(block)
-            if size > _MAX_BUFFERED_BODY_BYTES:
+            body += block
+            if len(body) > _MAX_BUFFERED_BODY_BYTES:
                 self.discard()
                 return TruncatedBody(f"a body of over {_MAX_BUFFERED_BODY_BYTES} B")
-        return b"".join(blocks)
+        return bytes(body)
 
     def close(self) -> None:
         """End the exchange; reuse the connection if the body was read to its end."""
