Bound the duration, the framing and the head of a request, and end closed connections

Callers saw: a request of which one byte comes every 0.2 s lasted without end; chunks with extensions of 8 KB for each byte were received without end; a whole head of 64 KB in one block passed the limit of 16 KB. And memory of the process grew by 15 MB a second in a crowd that stays (found by playing crowds for longer than the tests do: 44 to 160 MB in 4 s). Cause: only the time between two parts of a body was limited, only the bytes within chunks counted, and the parser checks heads that arrive in parts only. The growth: a connection that was closed for another one kept waiting for its turn behind hundreds of others, with what it had received. Change: a request has to be complete 60 s after its first byte, its framing may take eight bytes for each byte of the limit (a chunk of one byte takes six), a length over the limit is refused at its head, the size of whole heads is checked, and the task of a connection that gives way ends at once.

--- a/libs/http1/sapphirehoist/http1/caller_connection.py
+++ b/libs/http1/sapphirehoist/http1/caller_connection.py
@@ -24,6 +24,8 @@
 )
 from sapphirehoist.http1.connection_limits import (
     FIELD_BYTES,
+    MAX_FRAMING_FACTOR,
+    MAX_RECEIVE_S,
     READ_AHEAD_BYTES,
 )
 from sapphirehoist.http1.exchange import Exchange
@@ -42,6 +44,7 @@
 _STATUS_BAD_REQUEST = 400
 _STATUS_REQUEST_TIMEOUT = 408
 _STATUS_CONTENT_TOO_LARGE = 413
+_STATUS_HEAD_TOO_LARGE = 431
 # Work after which a task waits for its turn: parts of a body, and bytes of a head.
 _PARTS_PER_TURN = 32
 _HEAD_BYTES_PER_TURN = 4_096
@@ -118,6 +121,7 @@
         "_refusal",
         "_reserved_bytes",
         "_sock",
+        "_task",
     )
 
     def __init__(
@@ -147,6 +151,7 @@
         self._body = bytearray()
         self._refusal: InvalidRequest | None = None
         self._first_byte_at = 0.0
+        self._task = gevent.getcurrent()
         self._handler_task: gevent.Greenlet | None = None
         self._read_task: gevent.Greenlet | None = None
         self._parser = h11.Connection(
@@ -161,7 +166,8 @@
             while self._serve_request():
                 pass
         except CallerDisconnected:
-            self._metrics.count("caller_left_total")
+            if self._refusal is None:
+                self._metrics.count("caller_left_total")
         except (OSError, gevent.Timeout):
             self._metrics.count("caller_broken_total")
         finally:
@@ -226,7 +232,8 @@
         self._refusal = self._refusal or InvalidRequest(0, "closed for another one")
         self._owner.forget(self)
         self._sock.close()
-        self._has_input.set()
+        # Its task may wait for its turn, behind those of many others.
+        gevent.kill(self._task, CallerDisconnected)
 
     def give_up_request(self) -> None:
         """Release the memory of an unfinished request, and refuse it."""
@@ -406,15 +413,16 @@
         """Check a head and reserve memory for it, and for the length of its body."""
         if self._is_idle:
             self._begin_request()
-        invalid = _check_framing(event)
+        invalid = _check_framing(event) or _check_head_size(event, limits)
         if invalid is not None:
             return invalid
         head = self._head = _to_request_head(event)
         length = int(head.headers.get("content-length") or "0")
+        if length > limits.max_body_bytes:
+            return _body_too_large()
+        self._received_bytes = 0
         field_count = len(event.headers)
-        return self._reserve_request(
-            field_count * FIELD_BYTES + min(length, limits.max_body_bytes)
-        )
+        return self._reserve_request(field_count * FIELD_BYTES + length)
 
     def _accept_part(
         self, data: bytes | bytearray, limits: ReadLimits
@@ -456,12 +464,17 @@
             self._begin_request()
         block = self._take_block()
         self._received_bytes += len(block)
+        max_bytes = limits.max_body_bytes * MAX_FRAMING_FACTOR + limits.max_header_bytes
         if self._head is None:
             if len(block) >= _HEAD_BYTES_PER_TURN:
                 self._owner.turns.wait()
             if not self._reserve(self._received_bytes):
                 detail = "no memory for the head"
                 return InvalidRequest(_STATUS_REQUEST_TIMEOUT, detail)
+        elif self._received_bytes > max_bytes:
+            return InvalidRequest(
+                _STATUS_CONTENT_TOO_LARGE, "framing of the body over the limit"
+            )
         self._parser.receive_data(block)
         return None
 
@@ -469,8 +482,10 @@
         """Wait until a block was received, the caller closed, or a limit passed."""
         limit_s = limits.idle_timeout_s if self._is_idle else limits.header_timeout_s
         ends_at = self._clock.monotonic() + limit_s
-        if not self._is_idle and self._head is None:
-            ends_at = self._first_byte_at + limit_s
+        if not self._is_idle:
+            if self._head is None:
+                ends_at = self._first_byte_at + limit_s
+            ends_at = min(ends_at, self._first_byte_at + MAX_RECEIVE_S)
         while not self._received_blocks and not self._is_eof:
             self._has_input.clear()
             timeout_s = ends_at - self._clock.monotonic()
@@ -588,6 +603,18 @@
     return None
 
 
+def _check_head_size(event: h11.Request, limits: ReadLimits) -> InvalidRequest | None:
+    """Refuse a head over the limit that arrived in one block with its end.
+
+    The parser itself checks the size of heads that are not complete.
+    """
+    size = len(event.method) + len(event.target)
+    size += sum(len(name) + len(value) for name, value in event.headers)
+    if size > limits.max_header_bytes:
+        return InvalidRequest(_STATUS_HEAD_TOO_LARGE, "head over the limit")
+    return None
+
+
 def _to_request_head(event: h11.Request) -> RequestHead:
     headers = [
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/libs/http1/sapphirehoist/http1/connection_limits.py
+++ b/libs/http1/sapphirehoist/http1/connection_limits.py
@@ -13,3 +13,7 @@
 READ_AHEAD_BYTES = 16_384
 # Buffer of the kernel for received bytes, in bytes.
 KERNEL_RECEIVE_BYTES = 131_072
+# Received bytes of a body for each byte of its limit: a chunk of one byte takes six.
+MAX_FRAMING_FACTOR = 8
+# A request that is not complete by then, in seconds from its first byte, is refused.
+MAX_RECEIVE_S = 60.0
--- a/libs/http1/sapphirehoist/http1/server.py
+++ b/libs/http1/sapphirehoist/http1/server.py
@@ -22,7 +22,12 @@
     OpenConnections,
 )
 from sapphirehoist.http1.caller_connection import CallerConnection, ConnectionOwner
-from sapphirehoist.http1.caller_request import CallerRequest, ReadLimits, RequestMemory
+from sapphirehoist.http1.caller_request import (
+    CallerDisconnected,
+    CallerRequest,
+    ReadLimits,
+    RequestMemory,
+)
 from sapphirehoist.http1.connection_limits import (
     CONNECTION_BYTES,
     KERNEL_RECEIVE_BYTES,
@@ -190,6 +195,8 @@
                 self._metrics.count("caller_refused_total")
             elif self._shake_hands(conn):
                 conn.run()
+        except CallerDisconnected:
+            return  # closed for another connection before it was served
         finally:
             conn.close()
             self.forget(conn)
--- a/libs/http1/sapphirehoist/http1/tests/test_connection_limits.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_connection_limits.py
@@ -17,6 +17,7 @@
     Headers,
     RequestHead,
     ResponseHead,
+    caller_connection,
 )
 from sapphirehoist.observability import Metrics
 
@@ -193,6 +194,53 @@
         assert running_server.memory.free_bytes == 60_000
 
 
+class TestSizeAndTime:
+    def test_whole_head_over_the_limit_is_refused(
+        self, running_server: RunningServer
+    ) -> None:
+        """The parser checks heads that arrive in parts only."""
+        with running_server.connect() as sock:
+            sock.sendall(GET_REQUEST[:-2] + b"a: " + b"x" * 9_000 + b"\r\n\r\n")
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 431 ")
+
+    def test_length_over_the_limit_is_refused_at_once(
+        self, running_server: RunningServer
+    ) -> None:
+        with running_server.connect() as sock:
+            sock.sendall(HEAD + b"Content-Length: 50001\r\n\r\n")
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 413 ")
+
+    def test_framing_is_bounded(self, running_server: RunningServer) -> None:
+        with running_server.connect() as sock:
+            sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            chunk = b"1;" + b"e" * 6_000 + b"\r\nx\r\n"
+            with pytest.raises(OSError):  # noqa: PT012
+                for _ in range(100):
+                    sock.sendall(chunk)
+                    gevent.sleep(0.001)
+                assert sock.recv(65_536).startswith(b"HTTP/1.1 413 ")
+                raise ConnectionResetError
+        assert not running_server.backend.requests
+
+    def test_request_that_never_ends_is_refused(
+        self, running_server: RunningServer, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(caller_connection, "MAX_RECEIVE_S", 1.0)
+        with running_server.connect() as sock:
+            sock.sendall(HEAD + b"Content-Length: 50000\r\n\r\n")
+            for _ in range(12):
+                sock.sendall(b"x")
+                gevent.sleep(0.1)
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 408 ")
+
+    def test_body_in_tiny_chunks_is_whole(self, running_server: RunningServer) -> None:
+        with running_server.connect() as sock:
+            sock.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+            sock.sendall(b"1\r\nx\r\n" * 5_000 + b"0\r\n\r\n")
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        assert running_server.backend.requests[0].body == b"x" * 5_000
+
+
 def test_other_callers_are_served_between_parts_of_a_body(
     running_server: RunningServer,
 ) -> None:
--- a/tests/crowded_processes.py
+++ b/tests/crowded_processes.py
@@ -14,7 +14,7 @@
 
 from sapphirehoist.testing import ManagedProcess, wait_until
 
-__all__ = ["CrowdedProcess", "is_answered", "limited_descriptors", "playing"]
+__all__ = ["PLAY_S", "CrowdedProcess", "is_answered", "limited_descriptors", "playing"]
 
 # Descriptors that a process may open, and those that its own calls have to find free.
 MAX_DESCRIPTORS, FREE_DESCRIPTORS = 512, 64
@@ -101,7 +101,11 @@
         Path(f"/proc/{self._process.pid}/clear_refs").write_text("5")
 
     def check(
-        self, crowd: Crowd, folder: Path, is_ordinary_answered: Callable[[], bool]
+        self,
+        crowd: Crowd,
+        folder: Path,
+        is_ordinary_answered: Callable[[], bool],
+        play_s: float = PLAY_S,
     ) -> None:
         """Assert what must hold while `crowd` is connected and afterwards.
 
@@ -110,7 +114,7 @@
         """
         with playing(crowd, folder) as crowd_process:
             sampler = gevent.spawn(self._sample_descriptors)
-            gevent.sleep(PLAY_S)
+            gevent.sleep(play_s)
             self._check_answered(is_ordinary_answered, "in the crowd")
             assert crowd_process.is_running(), crowd_process.log.read_text()[-2_000:]
             self._check_bounds()
--- a/tests/test_crowded_gateway.py
+++ b/tests/test_crowded_gateway.py
@@ -14,7 +14,12 @@
 import pytest
 import urllib3
 from crowd import HTTP_CLIENTS, PEER_CLIENTS, Crowd
-from crowded_processes import CrowdedProcess, is_answered, limited_descriptors
+from crowded_processes import (
+    PLAY_S,
+    CrowdedProcess,
+    is_answered,
+    limited_descriptors,
+)
 from gevent import sleep, socket
 
 from sapphirehoist.adapter.settings import SETTINGS_VARIABLE
@@ -36,6 +41,7 @@
 # Memory of the VM; all that the process holds has to fit.
 MEMORY_MB = 100
 CONNECTIONS = 600
+LONG_PLAY_S = 6.0
 METRICS_PORT = 9464
 DEADLINE_S = 20.0
 LARGE_ANSWER_BYTES = 4_000_000
@@ -150,27 +156,43 @@
         started.close()
 
 
-def check_crowd(gateway: Gateway, crowd: Crowd, folder: Path) -> None:
+def check_crowd(
+    gateway: Gateway, crowd: Crowd, folder: Path, play_s: float = PLAY_S
+) -> None:
     process = CrowdedProcess(gateway.process, MEMORY_MB * 1_000_000)
-    process.check(crowd, folder, gateway.serves_ordinary_requests)
+    process.check(crowd, folder, gateway.serves_ordinary_requests, play_s)
 
 
-@pytest.mark.parametrize("target", TARGETS)
-@pytest.mark.parametrize("kind", HTTP_CLIENTS)
-def test_crowd_of_callers(
-    gateway: Gateway, tmp_path: Path, kind: str, target: str
-) -> None:
+def crowd_of_callers(gateway: Gateway, kind: str, target: str) -> Crowd:
     interface, path = TARGETS[target]
     headers = caller_headers("", DEADLINE_S)
     del headers["X-Request-Id"]
-    crowd = Crowd(
+    return Crowd(
         kind,
         gateway.address(interface),
         path or ROUTED_PATHS.get(kind, "/read/x"),
         headers,
         CONNECTIONS,
     )
-    check_crowd(gateway, crowd, tmp_path)
+
+
+@pytest.mark.parametrize("target", TARGETS)
+@pytest.mark.parametrize("kind", HTTP_CLIENTS)
+def test_crowd_of_callers(
+    gateway: Gateway, tmp_path: Path, kind: str, target: str
+) -> None:
+    check_crowd(gateway, crowd_of_callers(gateway, kind, target), tmp_path)
+
+
+@pytest.mark.parametrize(
+    "kind", ["body-in-one-piece", "body-in-tiny-chunks", "many-fields", "silent"]
+)
+def test_memory_does_not_grow_while_a_crowd_stays(
+    gateway: Gateway, tmp_path: Path, kind: str
+) -> None:
+    """Connections that were closed for others used to wait on, and kept their bytes."""
+    crowd = crowd_of_callers(gateway, kind, "route")
+    check_crowd(gateway, crowd, tmp_path, LONG_PLAY_S)
 
 
 @pytest.mark.parametrize("kind", PEER_CLIENTS)
