--- a/libs/http1/sapphirehoist/http1/__init__.py
+++ b/libs/http1/sapphirehoist/http1/__init__.py
@@ -34,6 +34,7 @@
     WholeHeadTlsConnection,
     is_framed,
 )
+from sapphirehoist.http1.wsgi import WsgiHandler
 
 __all__ = [
     "CallerDisconnected",
@@ -57,6 +58,7 @@
     "WholeHeadConnection",
     "WholeHeadPoolManager",
     "WholeHeadTlsConnection",
+    "WsgiHandler",
     "is_framed",
     "return_large_buffers",
 ]
