Bound what senders at the control address can hold before they are known as peers

Cause: every connection was served as one of a peer, without a bound on their number, on the bytes of unfinished frames (8 MB each), or on the time to the first message. A block of small frames was copied once for each of them. Change: a connection is trusted once it has delivered a message. Before that it gives way to others, has 10 s, and shares 16 MB with the unfinished frames of all; an eighth of the descriptors, at most 1,024, are for this address. A payload that is no envelope ends its connection: all builds send the same envelope. The message that opens a stream, which names an endpoint, is at most 64 KB. Peers keep their connections and may send frames of any legal size. Nothing on the wire changes.

--- a/libs/peers/sapphirehoist/peers/bus.py
+++ b/libs/peers/sapphirehoist/peers/bus.py
@@ -209,11 +209,16 @@
 
     def receive_request(
         self, payload: bytes, send_reply: Callable[[bytes], None]
-    ) -> None:
-        """Decode a request or notification and call its handler in a new greenlet."""
+    ) -> bool:
+        """Decode a request or notification and call its handler in a new greenlet.
+
+        Return whether it is a message.
+        """
         envelope = self._decode_envelope(payload)
-        if envelope is not None:
-            gevent.spawn(self._handle_request, envelope, send_reply)
+        if envelope is None:
+            return False
+        gevent.spawn(self._handle_request, envelope, send_reply)
+        return True
 
     def count_refused_connection(self) -> None:
         """Count a connection that failed authentication."""
--- a/libs/peers/sapphirehoist/peers/memory.py
+++ b/libs/peers/sapphirehoist/peers/memory.py
@@ -65,7 +65,7 @@
         self,
         source_address: str,
         target_address: str,
-        deliver_to: Callable[[Receiver], None],
+        deliver_to: Callable[[Receiver], object],
     ) -> bool:
         """Call `deliver_to` with the receiver at `target_address` after the link delay.
 
@@ -86,7 +86,7 @@
         self,
         source_address: str,
         target_address: str,
-        deliver_to: Callable[[Receiver], None],
+        deliver_to: Callable[[Receiver], object],
     ) -> None:
         if self._delay_s:
             self._clock.sleep(self._delay_s)
--- a/libs/peers/sapphirehoist/peers/stream.py
+++ b/libs/peers/sapphirehoist/peers/stream.py
@@ -58,7 +58,9 @@
     sock.sendall(len(payload).to_bytes(LENGTH_PREFIX_BYTES) + payload)
 
 
-def receive_frame(sock: socket.socket) -> bytes | None:
+def receive_frame(
+    sock: socket.socket, max_bytes: int = MAX_MESSAGE_BYTES
+) -> bytes | None:
     """Receive one frame and no byte after it.
 
     Return None if the connection ends before, or the frame is too long.
@@ -67,7 +69,7 @@
     if prefix is None:
         return None
     length = int.from_bytes(prefix)
-    if length > MAX_MESSAGE_BYTES:
+    if length > max_bytes:
         return None
     return receive_exactly(sock, length)
 
--- a/libs/peers/sapphirehoist/peers/tcp.py
+++ b/libs/peers/sapphirehoist/peers/tcp.py
@@ -15,6 +15,10 @@
 from gevent.queue import Full, Queue
 from gevent.server import StreamServer
 
+from sapphirehoist.peers.incoming_connections import (
+    FIRST_MESSAGE_TIMEOUT_S,
+    IncomingConnections,
+)
 from sapphirehoist.peers.stream import (
     LENGTH_PREFIX_BYTES,
     MAX_MESSAGE_BYTES,
@@ -23,7 +27,7 @@
     send_frame,
 )
 from sapphirehoist.peers.transport import PeerTransport, Receiver
-from sapphirehoist.sockets import configure_tcp_socket
+from sapphirehoist.sockets import ConnectionCounts, configure_tcp_socket
 
 _MAX_QUEUED_MESSAGES = 256
 _MAX_PORT = 65_535
@@ -33,6 +37,9 @@
 # Messages are dropped for this time after a failed connection.
 _RECONNECT_DELAY_S = 0.2
 _LISTEN_BACKLOG = 256
+_MAX_ACCEPTED_AT_A_TIME = 8
+# The message that opens a stream names an endpoint only.
+_MAX_STREAM_REQUEST_BYTES = 65_536
 
 
 class TcpTransport(PeerTransport):
@@ -42,10 +49,14 @@
     ----------
     listen : str
         Address to bind, such as ``tcp://10.0.0.1:7300``.
+    max_connections : int or None
+        Largest number of incoming connections; None for a share of the process's
+        descriptors.
     """
 
     __slots__ = (
         "_address",
+        "_incoming",
         "_incoming_sockets",
         "_is_closed",
         "_outgoing",
@@ -53,11 +64,14 @@
         "_server",
     )
 
-    def __init__(self, listen: str) -> None:
+    def __init__(self, listen: str, max_connections: int | None = None) -> None:
         listen_address = _parse_address(listen)
         assert listen_address is not None, f"no address to listen on: {listen}"
         self._address = listen_address
         self._outgoing: dict[str, _OutgoingConnection] = {}
+        if max_connections is None:
+            max_connections = ConnectionCounts.from_process().peers
+        self._incoming = IncomingConnections(max_connections)
         self._incoming_sockets: set[socket.socket] = set()
         self._receiver: Receiver | None = None
         self._server: StreamServer | None = None
@@ -69,6 +83,7 @@
         self._server = StreamServer(
             self._address, self._serve_connection, backlog=_LISTEN_BACKLOG
         )
+        self._server.max_accept = _MAX_ACCEPTED_AT_A_TIME
         self._server.start()
 
     def send(self, address: str, payload: bytes) -> bool:
@@ -131,29 +146,40 @@
         self, sock: socket.socket, peer_address: tuple[str, int]
     ) -> None:
         """Deliver the requests of one incoming connection and write their replies."""
-        configure_tcp_socket(sock)
+        if not self._incoming.add(sock):
+            sock.close()
+            return
         self._incoming_sockets.add(sock)
         try:
-            prefix = receive_exactly(sock, LENGTH_PREFIX_BYTES)
+            configure_tcp_socket(sock)
+            prefix = None
+            with gevent.Timeout(FIRST_MESSAGE_TIMEOUT_S, False):
+                prefix = receive_exactly(sock, LENGTH_PREFIX_BYTES)
             if prefix == _STREAM_MARK:
                 self._receive_stream(sock)
             elif prefix is not None:
                 self._receive_messages(sock, prefix)
+        except OSError:
+            return  # closed while it was accepted
         finally:
             self._incoming_sockets.discard(sock)
+            self._incoming.remove(sock)
             sock.close()
 
     def _receive_stream(self, sock: socket.socket) -> None:
         assert self._receiver is not None
-        payload = receive_frame(sock)
+        payload = None
+        with gevent.Timeout(FIRST_MESSAGE_TIMEOUT_S, False):
+            payload = receive_frame(sock, _MAX_STREAM_REQUEST_BYTES)
         if payload is not None:
+            self._incoming.trust(sock)
             self._receiver.receive_stream(payload, sock)
 
     def _receive_messages(self, sock: socket.socket, first_bytes: bytes) -> None:
         replies: Queue = Queue(_MAX_QUEUED_MESSAGES)
         writer = gevent.spawn(_write_frames, sock, replies)
         try:
-            _read_frames(
+            self._incoming.read_frames(
                 sock,
                 lambda payload: self._receive_request(payload, replies),
                 first_bytes,
@@ -161,13 +187,13 @@
         finally:
             writer.kill(block=False)
 
-    def _receive_request(self, payload: bytes, replies: Queue) -> None:
+    def _receive_request(self, payload: bytes, replies: Queue) -> bool | None:
         assert self._receiver is not None
 
         def send_reply(reply: bytes) -> None:
             _try_enqueue(replies, reply)
 
-        self._receiver.receive_request(payload, send_reply)
+        return self._receiver.receive_request(payload, send_reply)
 
 
 class _OutgoingConnection:
@@ -260,15 +286,12 @@
         sock.sendall(b"".join(frames))
 
 
-def _read_frames(
-    sock: socket.socket, deliver: Callable[[bytes], None], first_bytes: bytes = b""
-) -> None:
+def _read_frames(sock: socket.socket, deliver: Callable[[bytes], None]) -> None:
     """Deliver the payloads of complete frames until the connection ends.
 
     Return early if a frame, including its prefix, exceeds `MAX_MESSAGE_BYTES`.
-    `first_bytes` of the first frame have been received already.
     """
-    buffer = first_bytes
+    buffer = b""
     while True:
         try:
             chunk = sock.recv(_READ_CHUNK_BYTES)
--- a/libs/peers/sapphirehoist/peers/transport.py
+++ b/libs/peers/sapphirehoist/peers/transport.py
@@ -14,8 +14,11 @@
     @abstractmethod
     def receive_request(
         self, payload: bytes, send_reply: Callable[[bytes], None]
-    ) -> None:
-        """Handle a request or notification; `send_reply` sends the reply, if any."""
+    ) -> bool | None:
+        """Handle a request or notification; `send_reply` sends the reply, if any.
+
+        Return False if `payload` is no message, so that its sender is no peer.
+        """
 
     @abstractmethod
     def receive_reply(self, payload: bytes) -> None:
