Serve the daemon's interfaces within limits on bytes, time and connections

Callers saw: crowds at the daemon's two interfaces took all descriptors and hung it; it served nobody 20 s after the crowd had gone. Cause: both interfaces were WSGI servers without a time-out or a bound of any kind. Connections and requests of both share half of what the new setting memory_mb (default 160) leaves beside 64 MB; without room 503 not_run. A request goes on without its caller, as before.

--- a/libs/daemon/sapphirehoist/daemon/main.py
+++ b/libs/daemon/sapphirehoist/daemon/main.py
@@ -17,12 +17,24 @@
 import gevent  # noqa: E402
 from gevent.event import Event  # noqa: E402
 
+from sapphirehoist.clock import SystemClock  # noqa: E402
 from sapphirehoist.daemon.event_loop import pin_epoll  # noqa: E402
-from sapphirehoist.entry import HttpServer  # noqa: E402
+from sapphirehoist.decisions import MemoryBudget, budget_bytes  # noqa: E402
+from sapphirehoist.entry import (  # noqa: E402
+    OPERATOR_BODY_BYTES,
+    EntryRequestMemory,
+    HttpServer,
+)
+from sapphirehoist.http1 import return_large_buffers  # noqa: E402
 from sapphirehoist.node.dependencies import NodeDependencies  # noqa: E402
 from sapphirehoist.node.node import Node  # noqa: E402
 from sapphirehoist.observability import configure_logging  # noqa: E402
-from sapphirehoist.settings import SettingsErrors, load_settings  # noqa: E402
+from sapphirehoist.settings import (  # noqa: E402
+    Settings,
+    SettingsErrors,
+    load_settings,
+)
+from sapphirehoist.sockets import ConnectionCounts  # noqa: E402
 
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 2
@@ -44,12 +56,10 @@
         print(f"{arguments.settings}: ok")
         return EXIT_OK
     pin_epoll()
+    return_large_buffers()
     configure_logging(settings.vm)
     node = Node(settings, NodeDependencies.from_settings(settings))
-    servers = [
-        HttpServer(settings.callers, node.caller_api.app, settings.tls),
-        HttpServer(settings.operators_listen, node.operator_api.app, settings.tls),
-    ]
+    servers = _build_servers(settings, node)
     stop = Event()
     gevent.signal_handler(signal.SIGTERM, stop.set)
     gevent.signal_handler(signal.SIGINT, stop.set)
@@ -65,6 +75,36 @@
     return EXIT_OK
 
 
+def _build_servers(settings: Settings, node: Node) -> list[HttpServer]:
+    """Return the servers of both interfaces, which share the memory for requests."""
+    budget = MemoryBudget(budget_bytes(settings.memory_mb))
+    request_memory = EntryRequestMemory(budget, node.metrics)
+    counts = ConnectionCounts.from_process()
+    clock = SystemClock()
+    return [
+        HttpServer(
+            settings.callers,
+            node.caller_api.app,
+            settings.tls,
+            settings.max_body_bytes,
+            request_memory,
+            counts.callers,
+            clock,
+            node.metrics,
+        ),
+        HttpServer(
+            settings.operators_listen,
+            node.operator_api.app,
+            settings.tls,
+            OPERATOR_BODY_BYTES,
+            request_memory,
+            counts.status,
+            clock,
+            node.metrics,
+        ),
+    ]
+
+
 def _reload_certificates(servers: list[HttpServer]) -> None:
     for server in servers:
         server.reload_certificate()
--- a/libs/entry/sapphirehoist/entry/operator_api.py
+++ b/libs/entry/sapphirehoist/entry/operator_api.py
@@ -32,7 +32,7 @@
 from sapphirehoist.settings import OperatorCredentials
 from sapphirehoist.storage import Unavailable
 
-_MAX_BODY_BYTES = 4 * 1024 * 1024
+OPERATOR_BODY_BYTES = 4 * 1024 * 1024
 _MAX_ACCEPTANCE_WAIT_S = 30.0
 _MAX_HISTORY_CHANGES = 100
 
@@ -204,7 +204,7 @@
         return json_response(changes)
 
     def _commit_change(self) -> HTTPResponse:
-        body = read_body(ChangeRequest, _MAX_BODY_BYTES)
+        body = read_body(ChangeRequest, OPERATOR_BODY_BYTES)
         if isinstance(body, NotRun):
             return to_response(body)
         deps = self._deps
@@ -283,7 +283,7 @@
         return json_response(status)
 
     def _drain_endpoint(self) -> HTTPResponse:
-        body = read_body(DrainBody, _MAX_BODY_BYTES)
+        body = read_body(DrainBody, OPERATOR_BODY_BYTES)
         if isinstance(body, NotRun):
             return to_response(body)
         if self._deps.config_replica.catalog.endpoint(body.endpoint) is None:
--- a/libs/entry/sapphirehoist/entry/server.py
+++ b/libs/entry/sapphirehoist/entry/server.py
@@ -2,15 +2,30 @@
 
 from __future__ import annotations
 
-import logging
 import ssl
+from dataclasses import dataclass
 
 from bottle import Bottle
-from gevent.pywsgi import WSGIServer
 
+from sapphirehoist.clock import Clock
+from sapphirehoist.entry.request_memory import EntryRequestMemory
+from sapphirehoist.http1 import CallerServer, WsgiHandler
+from sapphirehoist.observability import Metrics
 from sapphirehoist.settings import ListenSettings, TlsSettings
 
-_logger = logging.getLogger(__name__)
+# A body that is this little over the limit of its interface gets the interface's own
+# error, which names both sizes.
+_BODY_MARGIN_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class _EntryLimits:
+    """Limits on requests to one interface; see `ReadLimits`."""
+
+    max_body_bytes: int
+    max_header_bytes: int = 16_384
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
 
 class HttpServer:
@@ -24,23 +39,46 @@
         Application to serve.
     tls : TlsSettings or None
         Paths of the certificate and key, or None for plain HTTP.
+    max_body_bytes : int
+        Largest body of a request.
+    request_memory : EntryRequestMemory
+        Memory of the connections and requests of all interfaces.
+    max_connections : int
+        Largest number of connections.
+    clock, metrics : Clock, Metrics
+        Clock of the time limits, and counters of connections.
     """
 
-    __slots__ = ("_ssl_context", "_server", "_tls")
+    __slots__ = ("_server", "_ssl_context", "_tls")
 
     def __init__(
-        self, listen: ListenSettings, app: Bottle, tls: TlsSettings | None
+        self,
+        listen: ListenSettings,
+        app: Bottle,
+        tls: TlsSettings | None,
+        max_body_bytes: int,
+        request_memory: EntryRequestMemory,
+        max_connections: int,
+        clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._tls = tls
         self._ssl_context: ssl.SSLContext | None = None
-        server_options = {}
         if tls is not None:
             self._ssl_context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
             self.reload_certificate()
-            server_options["ssl_context"] = self._ssl_context
-        address = (listen.host, listen.port)
-        self._server = WSGIServer(
-            address, app, log=None, error_log=_logger, **server_options
+        limits = _EntryLimits(max_body_bytes + _BODY_MARGIN_BYTES)
+        self._server = CallerServer(
+            f"{listen.host}:{listen.port}",
+            WsgiHandler(app, "http" if tls is None else "https"),
+            lambda: limits,
+            clock,
+            metrics,
+            request_memory,
+            max_connections,
+            self._ssl_context,
+            # A request goes on without its caller; only a stream ends with it.
+            interrupts_handlers=False,
         )
 
     def start(self) -> None:
@@ -54,4 +92,4 @@
 
     def stop(self) -> None:
         """Stop accepting connections; open ones are left to finish."""
-        self._server.stop(timeout=1)
+        self._server.stop()
--- a/libs/settings/sapphirehoist/settings/model.py
+++ b/libs/settings/sapphirehoist/settings/model.py
@@ -14,6 +14,7 @@
 Secret = Annotated[str, msgspec.Meta(min_length=32)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
+Megabytes = Annotated[float, msgspec.Meta(gt=0, le=10_000_000)]
 
 
 class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -123,6 +124,8 @@
         Time for which callers may cache the list of entry URLs, in seconds.
     max_body_bytes : int
         Maximum size of a request body in bytes.
+    memory_mb : float
+        Memory of the VM in MB. Requests may hold half of what is left beside 64 MB.
     max_deadline_s : float
         Longest deadline that a caller may request, in seconds.
     tls : TlsSettings or None
@@ -142,6 +145,7 @@
     resume_secret: Secret
     entries_ttl_s: Seconds = 5.0
     max_body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 1_048_576
+    memory_mb: Megabytes = 160.0
     max_deadline_s: Seconds = 60.0
     tls: TlsSettings | None = None
     policies: PolicySettings = PolicySettings()
