--- a/libs/peers/sapphirehoist/peers/zeromq.py
+++ b/libs/peers/sapphirehoist/peers/zeromq.py
@@ -22,6 +22,8 @@
 _HEARTBEAT_INTERVAL_MS = 5_000
 _MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 _SOCKET_BUFFER_BYTES = 64 * 1024
+# A connection that has not completed its handshake by then is closed.
+_HANDSHAKE_TIMEOUT_MS = 3_000
 _ZAP_ENDPOINT = "inproc://zeromq.zap.01"
 _ZAP_VERSION = b"1.0"
 
@@ -110,6 +112,7 @@
         sock.maxmsgsize = _MAX_MESSAGE_BYTES
         sock.reconnect_ivl = _MIN_RECONNECT_DELAY_MS
         sock.reconnect_ivl_max = _MAX_RECONNECT_DELAY_MS
+        sock.handshake_ivl = _HANDSHAKE_TIMEOUT_MS
         sock.heartbeat_ivl = _HEARTBEAT_INTERVAL_MS
         if self._keys is not None:
             sock.curve_publickey = self._keys.public.encode()
