Take no memory from others for a request that never fits, and split the connection

Cause: a request larger than its share of the budget took the memory of every idle connection and unfinished request before it was refused; on a small VM each such request would close the connections of all callers. The connection also did four jobs in one module. Change: HeldMemory asks first whether the size fits at all. What a connection reserves (HeldMemory) and the checks of heads stand in modules of their own; the gateway and the daemon share BudgetedRequestMemory; WorkTurns and IncomingConnections get their clock passed in.

--- a/libs/decisions/sapphirehoist/decisions/memory_budget.py
+++ b/libs/decisions/sapphirehoist/decisions/memory_budget.py
@@ -96,6 +96,10 @@
         assert 0 <= byte_count <= self.connection_bytes
         self.connection_bytes -= byte_count
 
+    def may_fit_request(self, byte_count: int) -> bool:
+        """Return whether a request of this size fits while nothing else is held."""
+        return byte_count <= self.capacity_bytes * _share(byte_count)
+
     def reserve_request(self, byte_count: int, held_bytes: int = 0) -> bool:
         """Reserve memory for a part of a request, if it fits.
 
@@ -106,9 +110,7 @@
         held_bytes : int
             Bytes that the request holds already.
         """
-        is_small = held_bytes + byte_count <= _SMALL_REQUEST_BYTES
-        share = _SMALL_REQUEST_SHARE if is_small else _REQUEST_SHARE
-        if not self._fits_incoming(byte_count, share):
+        if not self._fits_incoming(byte_count, _share(held_bytes + byte_count)):
             return False
         self.request_bytes += byte_count
         self.used_bytes += byte_count
@@ -166,6 +168,12 @@
         return largest
 
 
+def _share(request_bytes: int) -> float:
+    """Return the share of the budget that requests of this size may fill."""
+    is_small = request_bytes <= _SMALL_REQUEST_BYTES
+    return _SMALL_REQUEST_SHARE if is_small else _REQUEST_SHARE
+
+
 class SelfSheddingBudget(MemoryBudget):
     """Baseline that sheds whichever response needs memory when there is none."""
 
--- a/libs/entry/sapphirehoist/entry/request_memory.py
+++ b/libs/entry/sapphirehoist/entry/request_memory.py
@@ -4,7 +4,12 @@
 
 from sapphirehoist.decisions import MemoryBudget
 from sapphirehoist.entry.responses import error_body
-from sapphirehoist.http1 import Headers, RequestHead, ResponseHead
+from sapphirehoist.http1 import (
+    BudgetedRequestMemory,
+    Headers,
+    RequestHead,
+    ResponseHead,
+)
 from sapphirehoist.messages import encode_json
 from sapphirehoist.observability import Metrics
 from sapphirehoist.outcomes import NotRun, Reason
@@ -12,7 +17,7 @@
 _STATUS_SERVICE_UNAVAILABLE = 503
 
 
-class EntryRequestMemory:
+class EntryRequestMemory(BudgetedRequestMemory):
     """Reserves memory for connections and requests before they are received.
 
     Parameters
@@ -23,28 +28,12 @@
         Receives the counter ``refusals_total``.
     """
 
-    __slots__ = ("_budget", "_metrics")
+    __slots__ = ("_metrics",)
 
     def __init__(self, budget: MemoryBudget, metrics: Metrics) -> None:
-        self._budget = budget
+        super().__init__(budget)
         self._metrics = metrics
 
-    def reserve_connection(self, byte_count: int) -> bool:
-        """Reserve memory for a connection, if it fits."""
-        return self._budget.reserve_connection(byte_count)
-
-    def release_connection(self, byte_count: int) -> None:
-        """Release the memory of a connection."""
-        self._budget.release_connection(byte_count)
-
-    def reserve(self, byte_count: int, held_bytes: int) -> bool:
-        """Reserve memory for a request that holds `held_bytes`, if it fits."""
-        return self._budget.reserve_request(byte_count, held_bytes)
-
-    def release(self, byte_count: int) -> None:
-        """Release the memory of a request."""
-        self._budget.release_request(byte_count)
-
     def refuse(
         self, head: RequestHead, first_byte_at: float
     ) -> tuple[ResponseHead, bytes]:
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -70,7 +70,7 @@
 from sapphirehoist.gateway.prompt_broadcast import PromptBroadcaster
 from sapphirehoist.gateway.region_read_sharing import RegionReaders
 from sapphirehoist.gateway.request_checks import RequestChecks
-from sapphirehoist.gateway.request_memory import BudgetedRequestMemory
+from sapphirehoist.gateway.request_memory import GatewayRequestMemory
 from sapphirehoist.gateway.stage_admission import StageAdmission
 from sapphirehoist.gateway.stage_scheduler import StageScheduler
 from sapphirehoist.gateway.stream_origin_journal import StreamOriginJournal
@@ -673,11 +673,11 @@
             self._build_request_memory(),
         )
 
-    def _build_request_memory(self) -> BudgetedRequestMemory | None:
+    def _build_request_memory(self) -> GatewayRequestMemory | None:
         if self.memory is None:
             return None
         dependencies = self._dependencies
-        return BudgetedRequestMemory(
+        return GatewayRequestMemory(
             self.memory,
             dependencies.codec,
             dependencies.clock,
--- a/libs/gateway/sapphirehoist/gateway/request_memory.py
+++ b/libs/gateway/sapphirehoist/gateway/request_memory.py
@@ -9,14 +9,14 @@
 from sapphirehoist.gateway.codec import CallCodec, DecodeFailure
 from sapphirehoist.gateway.error_response import ErrorReason, ErrorResponse
 from sapphirehoist.gateway.trace import RequestTrace
-from sapphirehoist.http1 import RequestHead, ResponseHead
+from sapphirehoist.http1 import BudgetedRequestMemory, RequestHead, ResponseHead
 from sapphirehoist.observability import Metrics
 
 # Requests are held until their response is complete, which takes about a second.
 _MIN_RETRY_AFTER_S, _MAX_RETRY_AFTER_S = 0.5, 0.75
 
 
-class BudgetedRequestMemory:
+class GatewayRequestMemory(BudgetedRequestMemory):
     """Reserves memory for connections and requests before they are received.
 
     Parameters
@@ -33,7 +33,7 @@
         Receives the counter ``requests_total``.
     """
 
-    __slots__ = ("_budget", "_clock", "_codec", "_metrics", "_random")
+    __slots__ = ("_clock", "_codec", "_metrics", "_random")
 
     def __init__(
         self,
@@ -43,28 +43,12 @@
         random: Random,
         metrics: Metrics,
     ) -> None:
-        self._budget = budget
+        super().__init__(budget)
         self._codec = codec
         self._clock = clock
         self._random = random
         self._metrics = metrics
 
-    def reserve_connection(self, byte_count: int) -> bool:
-        """Reserve memory for a connection, if it fits."""
-        return self._budget.reserve_connection(byte_count)
-
-    def release_connection(self, byte_count: int) -> None:
-        """Release the memory of a connection."""
-        self._budget.release_connection(byte_count)
-
-    def reserve(self, byte_count: int, held_bytes: int) -> bool:
-        """Reserve memory for a request that holds `held_bytes`, if it fits."""
-        return self._budget.reserve_request(byte_count, held_bytes)
-
-    def release(self, byte_count: int) -> None:
-        """Release the memory of a request."""
-        self._budget.release_request(byte_count)
-
     def refuse(
         self, head: RequestHead, first_byte_at: float
     ) -> tuple[ResponseHead, bytes]:
--- a/libs/http1/sapphirehoist/http1/__init__.py
+++ b/libs/http1/sapphirehoist/http1/__init__.py
@@ -10,7 +10,6 @@
     CallerDisconnected,
     CallerRequest,
     ReadLimits,
-    RequestMemory,
 )
 from sapphirehoist.http1.client import (
     EndpointConnectionPool,
@@ -26,6 +25,7 @@
     TcpConnector,
 )
 from sapphirehoist.http1.exchange import Exchange
+from sapphirehoist.http1.held_memory import BudgetedRequestMemory, RequestMemory
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
 from sapphirehoist.http1.server import CallerServer
 from sapphirehoist.http1.whole_responses import (
@@ -37,6 +37,7 @@
 from sapphirehoist.http1.wsgi import WsgiHandler
 
 __all__ = [
+    "BudgetedRequestMemory",
     "CallerDisconnected",
     "CallerRequest",
     "CallerServer",
--- a/libs/http1/sapphirehoist/http1/caller_connection.py
+++ b/libs/http1/sapphirehoist/http1/caller_connection.py
@@ -20,7 +20,6 @@
     CallerRequest,
     InvalidRequest,
     ReadLimits,
-    RequestMemory,
 )
 from sapphirehoist.http1.connection_limits import (
     FIELD_BYTES,
@@ -29,6 +28,8 @@
     READ_AHEAD_BYTES,
 )
 from sapphirehoist.http1.exchange import Exchange
+from sapphirehoist.http1.head_checks import check_head, to_request_head
+from sapphirehoist.http1.held_memory import HeldMemory, RequestMemory
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
 from sapphirehoist.observability import Metrics
 from sapphirehoist.sockets import WorkTurns, configure_tcp_socket, reset_on_close
@@ -41,10 +42,8 @@
 _PAUSE_TIMEOUT_MS = 10_000
 _MAX_UNSENT_BYTES = 65_536
 _REFUSAL_LINGER_S = 0.5
-_STATUS_BAD_REQUEST = 400
 _STATUS_REQUEST_TIMEOUT = 408
 _STATUS_CONTENT_TOO_LARGE = 413
-_STATUS_HEAD_TOO_LARGE = 431
 # Work after which a task waits for its turn: parts of a body, and bytes of a head.
 _PARTS_PER_TURN = 32
 _HEAD_BYTES_PER_TURN = 4_096
@@ -90,7 +89,7 @@
         Listener that has accepted the connection.
     sock : socket
         Connected socket.
-    base_bytes : int
+    connection_bytes : int
         Memory that is reserved for the connection itself.
     clock : Clock
         Gives the arrival times of requests.
@@ -99,7 +98,6 @@
     """
 
     __slots__ = (
-        "_base_bytes",
         "_body",
         "_clock",
         "_first_byte_at",
@@ -107,7 +105,7 @@
         "_has_input",
         "_has_room",
         "_head",
-        "_is_base_reserved",
+        "_held",
         "_is_eof",
         "_is_idle",
         "_may_pause",
@@ -119,7 +117,6 @@
         "_received_blocks",
         "_received_bytes",
         "_refusal",
-        "_reserved_bytes",
         "_sock",
         "_task",
     )
@@ -128,24 +125,24 @@
         self,
         owner: ConnectionOwner,
         sock: socket.socket,
-        base_bytes: int,
+        connection_bytes: int,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._owner = owner
         self._sock = sock
-        self._base_bytes = base_bytes
+        self._held = HeldMemory(
+            owner.request_memory, connection_bytes, lambda: owner.make_room(self)
+        )
         self._clock = clock
         self._metrics = metrics
         self._received_blocks: deque[bytes] = deque()
         self._read_ahead_bytes = 0
         self._has_input = Event()
         self._has_room = Event()
-        self._is_base_reserved = False
         self._is_eof = False
         self._is_idle = True
         self._may_pause = False
-        self._reserved_bytes = 0
         self._received_bytes = 0
         self._head: RequestHead | None = None
         self._body = bytearray()
@@ -174,16 +171,9 @@
             self._read_task.kill(block=False)
             self._sock.close()
 
-    def reserve_base(self) -> bool:
+    def reserve_memory(self) -> bool:
         """Reserve the memory of the connection itself, before it is used."""
-        memory = self._owner.request_memory
-        if memory is None:
-            return True
-        while not memory.reserve_connection(self._base_bytes):
-            if not self._owner.make_room(self):
-                return False
-        self._is_base_reserved = True
-        return True
+        return self._held.reserve_connection()
 
     def wrap(self, tls: ssl.SSLContext) -> None:
         """Speak TLS from here on, after its handshake.
@@ -205,10 +195,7 @@
     def release_all(self) -> None:
         """Release all memory of the connection."""
         self._drop_request()
-        memory = self._owner.request_memory
-        if memory is not None and self._is_base_reserved:
-            memory.release_connection(self._base_bytes)
-            self._is_base_reserved = False
+        self._held.release_all()
 
     @property
     def is_active(self) -> bool:
@@ -413,10 +400,10 @@
         """Check a head and reserve memory for it, and for the length of its body."""
         if self._is_idle:
             self._begin_request()
-        invalid = _check_framing(event) or _check_head_size(event, limits)
+        invalid = check_head(event, limits)
         if invalid is not None:
             return invalid
-        head = self._head = _to_request_head(event)
+        head = self._head = to_request_head(event)
         length = int(head.headers.get("content-length") or "0")
         if length > limits.max_body_bytes:
             return _body_too_large()
@@ -468,7 +455,9 @@
         if self._head is None:
             if len(block) >= _HEAD_BYTES_PER_TURN:
                 self._owner.turns.wait()
-            if not self._reserve(self._received_bytes):
+            if self._refusal is not None:
+                return self._refusal
+            if not self._held.reserve_request(self._received_bytes):
                 detail = "no memory for the head"
                 return InvalidRequest(_STATUS_REQUEST_TIMEOUT, detail)
         elif self._received_bytes > max_bytes:
@@ -498,33 +487,16 @@
 
     def _reserve_request(self, byte_count: int) -> InvalidRequest | None:
         """Reserve memory for a request of `byte_count` bytes, or return a refusal."""
-        if self._reserve(byte_count) or self._refusal is not None:
-            return self._refusal
-        assert self._head is not None
-        return self._refuse_for_memory(self._head)
-
-    def _reserve(self, byte_count: int) -> bool:
-        """Reserve `byte_count` bytes in all, taken from other connections if needed."""
-        if self._refusal is not None:
-            return False
-        memory = self._owner.request_memory
-        missing_bytes = byte_count - self._reserved_bytes
-        if memory is None or missing_bytes <= 0:
-            return True
-        while not memory.reserve(missing_bytes, self._reserved_bytes):
-            if not self._owner.make_room(self):
-                return False
-        self._reserved_bytes = byte_count
-        return True
+        if self._refusal is None and not self._held.reserve_request(byte_count):
+            assert self._head is not None
+            self._refuse_for_memory(self._head)
+        return self._refusal
 
     def _drop_request(self) -> None:
         """Forget a request, and release its memory."""
         self._head = None
         self._body = bytearray()
-        memory = self._owner.request_memory
-        if memory is not None and self._reserved_bytes:
-            memory.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._held.release_request()
 
     def _refuse_for_memory(self, head: RequestHead) -> InvalidRequest:
         memory = self._owner.request_memory
@@ -589,39 +561,3 @@
 
 def _body_too_large() -> InvalidRequest:
     return InvalidRequest(_STATUS_CONTENT_TOO_LARGE, "body over the limit")
-
-
-def _check_framing(event: h11.Request) -> InvalidRequest | None:
-    """Refuse framing that allows request smuggling, and targets without a path."""
-    names = [name for name, _ in event.headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
-        return InvalidRequest(_STATUS_BAD_REQUEST, "both a length and chunks")
-    if names.count(b"host") > 1:
-        return InvalidRequest(_STATUS_BAD_REQUEST, "more than one Host")
-    if not event.target.startswith(b"/"):
-        return InvalidRequest(_STATUS_BAD_REQUEST, "the target must begin with a slash")
-    return None
-
-
-def _check_head_size(event: h11.Request, limits: ReadLimits) -> InvalidRequest | None:
-    """Refuse a head over the limit that arrived in one block with its end.
-
-    The parser itself checks the size of heads that are not complete.
-    """
-    size = len(event.method) + len(event.target)
-    size += sum(len(name) + len(value) for name, value in event.headers)
-    if size > limits.max_header_bytes:
-        return InvalidRequest(_STATUS_HEAD_TOO_LARGE, "head over the limit")
-    return None
-
-
-def _to_request_head(event: h11.Request) -> RequestHead:
-    headers = [
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in event.headers
-    ]
-    return RequestHead(
-        event.method.decode("ascii"),
-        event.target.decode("latin-1"),
-        Headers(headers),
-    )
--- a/libs/http1/sapphirehoist/http1/caller_request.py
+++ b/libs/http1/sapphirehoist/http1/caller_request.py
@@ -39,27 +39,6 @@
         """Return the longest idle time of a connection in seconds."""
 
 
-class RequestMemory(Protocol):
-    """Memory for connections, and for requests until their response is complete."""
-
-    def reserve_connection(self, byte_count: int) -> bool:
-        """Reserve memory for a connection, if it fits."""
-
-    def release_connection(self, byte_count: int) -> None:
-        """Release the memory of a connection."""
-
-    def reserve(self, byte_count: int, held_bytes: int) -> bool:
-        """Reserve memory for a request that holds `held_bytes`, if it fits."""
-
-    def release(self, byte_count: int) -> None:
-        """Release the memory of a request."""
-
-    def refuse(
-        self, head: RequestHead, first_byte_at: float
-    ) -> tuple[ResponseHead, bytes]:
-        """Return the response to a request that does not fit."""
-
-
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A request that was received completely.
--- a/libs/http1/sapphirehoist/http1/server.py
+++ b/libs/http1/sapphirehoist/http1/server.py
@@ -26,7 +26,6 @@
     CallerDisconnected,
     CallerRequest,
     ReadLimits,
-    RequestMemory,
 )
 from sapphirehoist.http1.connection_limits import (
     CONNECTION_BYTES,
@@ -34,6 +33,7 @@
     TLS_CONNECTION_BYTES,
 )
 from sapphirehoist.http1.exchange import Exchange
+from sapphirehoist.http1.held_memory import RequestMemory
 from sapphirehoist.observability import Metrics
 from sapphirehoist.sockets import ConnectionCounts, WorkTurns
 
@@ -75,7 +75,7 @@
     """
 
     __slots__ = (
-        "_base_bytes",
+        "_connection_bytes",
         "_clock",
         "_connections",
         "_handler",
@@ -107,12 +107,14 @@
         self._limits = limits
         self.request_memory = request_memory
         self.interrupts_handlers = interrupts_handlers
-        self.turns = WorkTurns()
+        self.turns = WorkTurns(clock)
         self.is_closing = False
         self._clock = clock
         self._metrics = metrics
         self._tls = tls
-        self._base_bytes = CONNECTION_BYTES if tls is None else TLS_CONNECTION_BYTES
+        self._connection_bytes = (
+            CONNECTION_BYTES if tls is None else TLS_CONNECTION_BYTES
+        )
         self._connections: set[CallerConnection] = set()
         if max_connections is None:
             max_connections = ConnectionCounts.from_process().callers
@@ -186,12 +188,12 @@
             sock.close()
             return
         conn = CallerConnection(
-            self, sock, self._base_bytes, self._clock, self._metrics
+            self, sock, self._connection_bytes, self._clock, self._metrics
         )
         self._connections.add(conn)
         self.enter(conn, ConnectionPhase.IDLE)
         try:
-            if not conn.reserve_base():
+            if not conn.reserve_memory():
                 self._metrics.count("caller_refused_total")
             elif self._shake_hands(conn):
                 conn.run()
--- a/libs/http1/sapphirehoist/http1/tests/test_connection_limits.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_connection_limits.py
@@ -41,6 +41,9 @@
 
     free_bytes: int = 60_000
 
+    def may_fit(self, byte_count: int) -> bool:
+        return byte_count <= 60_000
+
     def reserve_connection(self, byte_count: int) -> bool:
         return True
 
@@ -161,7 +164,7 @@
 
 class TestMemory:
     def test_request_that_stopped_gives_way_to_another_one(
-        self, running_server: RunningServer, monkeypatch: pytest.MonkeyPatch
+        self, running_server: RunningServer
     ) -> None:
         stopped, other = running_server.connect(), running_server.connect()
         stopped.sendall(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
@@ -174,6 +177,19 @@
         assert stopped.recv(65_536).startswith(b"HTTP/1.1 503 ")
         assert len(running_server.backend.requests) == 1
 
+    def test_request_that_never_fits_takes_nothing_from_others(
+        self, running_server: RunningServer
+    ) -> None:
+        with running_server.connect() as idle, running_server.connect() as sock:
+            idle.sendall(GET_REQUEST)
+            assert idle.recv(65_536).startswith(b"HTTP/1.1 200 ")
+            gevent.sleep(1.1)
+            fields = b"a:\r\n" * 50
+            sock.sendall(HEAD + fields + b"Content-Length: 49999\r\n\r\n")
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 503 ")
+            idle.sendall(GET_REQUEST)
+            assert idle.recv(65_536).startswith(b"HTTP/1.1 200 ")
+
     def test_fields_of_a_head_are_counted(self, running_server: RunningServer) -> None:
         """Many short fields take far more memory than their bytes."""
         held: list[int] = []
--- a/libs/peers/sapphirehoist/peers/incoming_connections.py
+++ b/libs/peers/sapphirehoist/peers/incoming_connections.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from time import monotonic
 
 from gevent import Timeout, socket
 
+from sapphirehoist.clock import Clock
 from sapphirehoist.decisions import (
     ConnectionPhase,
     LongestWaitingGivesWay,
@@ -34,28 +34,31 @@
     ----------
     max_count : int
         Largest number of connections.
+    clock : Clock
+        Measures how long connections wait.
     """
 
-    __slots__ = ("_open", "_turns", "_unfinished_bytes")
+    __slots__ = ("_clock", "_open", "_turns", "_unfinished_bytes")
 
-    def __init__(self, max_count: int) -> None:
+    def __init__(self, max_count: int, clock: Clock) -> None:
+        self._clock = clock
         self._open: OpenConnections = LongestWaitingGivesWay(max_count)
-        self._turns = WorkTurns()
+        self._turns = WorkTurns(clock)
         self._unfinished_bytes = 0
 
     def add(self, sock: socket.socket) -> bool:
         """Count a new connection, for which another may be closed; False if none is."""
         if self._open.is_full:
-            victim = self._open.choose_for_place(monotonic())
+            victim = self._open.choose_for_place(self._clock.monotonic())
             if victim is None:
                 return False
             self._close(victim)
-        self._open.enter(sock, ConnectionPhase.IDLE, monotonic())
+        self._open.enter(sock, ConnectionPhase.IDLE, self._clock.monotonic())
         return True
 
     def trust(self, sock: socket.socket) -> None:
         """Record that a connection is of a peer, and gives way to no other one."""
-        self._open.enter(sock, ConnectionPhase.ANSWERING, monotonic())
+        self._open.enter(sock, ConnectionPhase.ANSWERING, self._clock.monotonic())
 
     def remove(self, sock: socket.socket) -> None:
         """Stop counting a connection."""
@@ -87,7 +90,9 @@
                     timeout.close()
                     self.trust(sock)
                 elif buffer and not is_trusted and not held_bytes:
-                    self._open.enter(sock, ConnectionPhase.RECEIVING, monotonic())
+                    self._open.enter(
+                        sock, ConnectionPhase.RECEIVING, self._clock.monotonic()
+                    )
                 growth_bytes = len(buffer) - held_bytes
                 if growth_bytes > 0 and not self._make_room(sock, growth_bytes):
                     return
@@ -131,7 +136,7 @@
         """
         if self._unfinished_bytes + byte_count <= _MAX_UNFINISHED_BYTES:
             return True
-        victim = self._open.choose_for_memory(sock, monotonic())
+        victim = self._open.choose_for_memory(sock, self._clock.monotonic())
         if victim is not None:
             self._close(victim)
             return True
--- a/libs/peers/sapphirehoist/peers/tcp.py
+++ b/libs/peers/sapphirehoist/peers/tcp.py
@@ -15,6 +15,7 @@
 from gevent.queue import Full, Queue
 from gevent.server import StreamServer
 
+from sapphirehoist.clock import Clock, SystemClock
 from sapphirehoist.peers.incoming_connections import (
     FIRST_MESSAGE_TIMEOUT_S,
     IncomingConnections,
@@ -52,6 +53,8 @@
     max_connections : int or None
         Largest number of incoming connections; None for a share of the process's
         descriptors.
+    clock : Clock or None
+        Measures how long incoming connections wait; None for the system's clock.
     """
 
     __slots__ = (
@@ -64,14 +67,19 @@
         "_server",
     )
 
-    def __init__(self, listen: str, max_connections: int | None = None) -> None:
+    def __init__(
+        self,
+        listen: str,
+        max_connections: int | None = None,
+        clock: Clock | None = None,
+    ) -> None:
         listen_address = _parse_address(listen)
         assert listen_address is not None, f"no address to listen on: {listen}"
         self._address = listen_address
         self._outgoing: dict[str, _OutgoingConnection] = {}
         if max_connections is None:
             max_connections = ConnectionCounts.from_process().peers
-        self._incoming = IncomingConnections(max_connections)
+        self._incoming = IncomingConnections(max_connections, clock or SystemClock())
         self._incoming_sockets: set[socket.socket] = set()
         self._receiver: Receiver | None = None
         self._server: StreamServer | None = None
--- a/libs/sockets/sapphirehoist/sockets/work_turns.py
+++ b/libs/sockets/sapphirehoist/sockets/work_turns.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from time import monotonic
-
 import gevent
 from gevent.lock import Semaphore
 
+from sapphirehoist.clock import Clock
+
 # Work between two turns should be shorter; a pause for it is never longer.
 _MAX_PAUSE_S = 0.05
 
@@ -20,11 +20,17 @@
 
     While several tasks take turns, the work of each is followed by a pause of the same
     length, so that tasks which wait for input get half of the time.
+
+    Parameters
+    ----------
+    clock : Clock
+        Measures the work.
     """
 
-    __slots__ = ("_began_at", "_count", "_turn")
+    __slots__ = ("_began_at", "_clock", "_count", "_turn")
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._turn = Semaphore(1)
         self._began_at = 0.0
         self._count = 0
@@ -35,8 +41,8 @@
         try:
             with self._turn:
                 is_alone = self._count == 1
-                worked_s = min(monotonic() - self._began_at, _MAX_PAUSE_S)
-                gevent.sleep(0.0 if is_alone else worked_s)
-                self._began_at = monotonic()
+                worked_s = self._clock.monotonic() - self._began_at
+                gevent.sleep(0.0 if is_alone else min(worked_s, _MAX_PAUSE_S))
+                self._began_at = self._clock.monotonic()
         finally:
             self._count -= 1
