Refuse nothing when a response that is not read gives way

Cause: a connection that gave way while its response was unread was logged and counted as a refused request (memory_full), though its request had run; nothing false was sent. Change: the refusal is made only while the request is being received.

Measured: test_response_that_is_not_read_gives_way_without_a_refusal fails before (one refusal), 32 tests of the server and its limits pass.

--- a/libs/http1/sapphirehoist/http1/caller_connection.py
+++ b/libs/http1/sapphirehoist/http1/caller_connection.py
@@ -212,10 +212,11 @@
 
         What the socket does not accept is not sent.
         """
-        if self._refusal is None and self._head is not None:
-            with suppress(OSError, h11.LocalProtocolError):
-                self._refuse_for_memory(self._head)
-                self.write_now(self._encode_refusal(self._refusal))
+        is_receiving_body = self._parser.our_state is h11.SEND_RESPONSE
+        if self._refusal is None and self._head is not None and is_receiving_body:
+            refusal = self._refuse_for_memory(self._head)
+            with suppress(OSError):
+                self.write_now(self._encode_refusal(refusal))
         self._refusal = self._refusal or InvalidRequest(0, "closed for another one")
         self._owner.forget(self)
         self._sock.close()
@@ -529,9 +530,8 @@
             # read this response.
             gevent.sleep(_REFUSAL_LINGER_S)
 
-    def _encode_refusal(self, invalid: InvalidRequest | None) -> bytes:
+    def _encode_refusal(self, invalid: InvalidRequest) -> bytes:
         """Return the response to a request that was not received completely."""
-        assert invalid is not None
         head, body = invalid.response or (
             ResponseHead(invalid.status, Headers()),
             invalid.detail.encode(),
--- a/libs/http1/sapphirehoist/http1/tests/test_connection_limits.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_connection_limits.py
@@ -40,6 +40,7 @@
     """Memory of a fixed size, of which connections take none."""
 
     free_bytes: int = 60_000
+    refusal_count: int = 0
 
     def may_fit(self, byte_count: int) -> bool:
         return byte_count <= 60_000
@@ -62,6 +63,7 @@
     def refuse(
         self, head: RequestHead, first_byte_at: float
     ) -> tuple[ResponseHead, bytes]:
+        self.refusal_count += 1
         return ResponseHead(503, Headers([("Retry-After", "1")])), b"full"
 
 
@@ -79,6 +81,19 @@
         self.respond(exchange)
 
 
+class UnreadResponse:
+    """Writer of a response that its caller does not read."""
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def flush(self) -> None:
+        gevent.sleep(WAIT_S)
+
+    def close(self) -> None:
+        pass
+
+
 @dataclass(slots=True)
 class RunningServer:
     backend: Backend
@@ -161,6 +176,26 @@
         for caller in callers:
             assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
 
+    def test_response_that_is_not_read_gives_way_without_a_refusal(
+        self, running_server: RunningServer
+    ) -> None:
+        """Its request has run."""
+
+        def respond_to_nobody(exchange: Exchange) -> None:
+            exchange.write_through(UnreadResponse())
+            exchange.respond(ResponseHead(200, Headers()), b"ok")
+
+        running_server.backend.respond = respond_to_nobody
+        unread = [running_server.connect() for _ in range(MAX_CONNECTIONS)]
+        for sock in unread:
+            sock.sendall(GET_REQUEST)
+        gevent.sleep(0.2)
+        running_server.backend.respond = Backend().respond
+        with running_server.connect() as sock:
+            sock.sendall(GET_REQUEST)
+            assert sock.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        assert running_server.memory.refusal_count == 0
+
 
 class TestMemory:
     def test_request_that_stopped_gives_way_to_another_one(
