Let go of shed answers before others take their memory

Cause: shedding a response gave its memory to others at once, while its handler held the bytes until it was interrupted, up to 16 of them at a time; and the frames of a writing task that was killed kept views of its bytes until the next full garbage collection. Responses could also fill all of the budget, so that new requests found no memory. Change: the bytes of a shed response count (leaving_bytes) until its handler has let go, and a response that needs memory waits for that before another is shed; views are released when they are discarded; responses fill at most nine tenths.

--- a/libs/decisions/sapphirehoist/decisions/memory_budget.py
+++ b/libs/decisions/sapphirehoist/decisions/memory_budget.py
@@ -23,6 +23,8 @@
 # Connections and small requests may take more, so that large ones do not keep them out.
 _SMALL_REQUEST_BYTES = 65_536
 _SMALL_REQUEST_SHARE = 0.85
+# What responses leave free keeps slow readers from turning new requests away.
+_RESPONSE_SHARE = 0.9
 
 
 def budget_bytes(memory_mb: float) -> int:
@@ -56,6 +58,9 @@
     connection_bytes : int
         Bytes that open connections take, whether they carry a request or not; they
         are not part of `used_bytes`.
+    leaving_bytes : int
+        Bytes of responses that were shed and whose handlers still hold them; they are
+        not part of `used_bytes` either.
 
     Examples
     --------
@@ -73,6 +78,7 @@
         "_held_bytes",
         "capacity_bytes",
         "connection_bytes",
+        "leaving_bytes",
         "request_bytes",
         "used_bytes",
     )
@@ -82,6 +88,7 @@
         self.used_bytes = 0
         self.request_bytes = 0
         self.connection_bytes = 0
+        self.leaving_bytes = 0
         self._held_bytes: dict[Hashable, int] = {}
 
     def reserve_connection(self, byte_count: int) -> bool:
@@ -125,7 +132,7 @@
         return incoming_bytes <= self.capacity_bytes * share and self._fits(byte_count)
 
     def _fits(self, byte_count: int) -> bool:
-        used_bytes = self.used_bytes + self.connection_bytes
+        used_bytes = self.used_bytes + self.connection_bytes + self.leaving_bytes
         return used_bytes + byte_count <= self.capacity_bytes
 
     def release_request(self, byte_count: int) -> None:
@@ -136,7 +143,11 @@
 
     def reserve(self, response: Hashable, byte_count: int) -> bool:
         """Reserve memory for a part of a response, if it fits."""
-        if not self._fits(byte_count):
+        response_bytes = self.used_bytes - self.request_bytes + self.leaving_bytes
+        if (
+            response_bytes + byte_count > self.capacity_bytes * _RESPONSE_SHARE
+            or not self._fits(byte_count)
+        ):
             return False
         self.used_bytes += byte_count
         self._held_bytes[response] = self._held_bytes.get(response, 0) + byte_count
@@ -152,6 +163,18 @@
         else:
             self._held_bytes.pop(response, None)
 
+    def begin_leaving(self, response: Hashable) -> int:
+        """Record that a response was shed; return the bytes that it still takes."""
+        held_bytes = self.held_bytes(response)
+        self.release(response, held_bytes)
+        self.leaving_bytes += held_bytes
+        return held_bytes
+
+    def end_leaving(self, byte_count: int) -> None:
+        """Release bytes of a response that was shed."""
+        assert 0 <= byte_count <= self.leaving_bytes
+        self.leaving_bytes -= byte_count
+
     def held_bytes(self, response: Hashable) -> int:
         """Return the number of bytes that are held for a response."""
         return self._held_bytes.get(response, 0)
--- a/libs/decisions/sapphirehoist/decisions/tests/test_memory_budget.py
+++ b/libs/decisions/sapphirehoist/decisions/tests/test_memory_budget.py
@@ -48,3 +48,20 @@
     assert not budget.reserve_request(100_000)
     assert budget.reserve("a", 300_000)
     assert not budget.reserve("b", 1)
+
+
+def test_responses_leave_memory_for_requests() -> None:
+    budget = MemoryBudget(CAPACITY_BYTES)
+    assert budget.reserve("a", 900_000)
+    assert not budget.reserve("b", 1)
+    assert budget.reserve_request(50_000)
+
+
+def test_shed_response_takes_its_memory_until_its_handler_has_let_go() -> None:
+    budget = MemoryBudget(CAPACITY_BYTES)
+    assert budget.reserve("a", 800_000)
+    leaving_bytes = budget.begin_leaving("a")
+    assert (leaving_bytes, budget.used_bytes) == (800_000, 0)
+    assert not budget.reserve("b", 200_000)
+    budget.end_leaving(leaving_bytes)
+    assert budget.reserve("b", 200_000)
--- a/libs/gateway/sapphirehoist/gateway/buffered_relay.py
+++ b/libs/gateway/sapphirehoist/gateway/buffered_relay.py
@@ -56,6 +56,7 @@
         "_drained",
         "_exchange",
         "_handler_task",
+        "_leaving_bytes",
         "_metrics",
         "_pending",
         "_writer_task",
@@ -71,6 +72,7 @@
         # Views of the written bytes, which are not copied.
         self._pending: deque[memoryview] = deque()
         self._collected_bytes = 0
+        self._leaving_bytes = 0
         self._cut_detail = ""
         self._drained: Event | None = None
         self._writer_task: gevent.Greenlet | None = None
@@ -128,16 +130,20 @@
         """Discard what is buffered and interrupt the handler no more."""
         self._handler_task = None
         self._discard()
+        self._budget.end_leaving(self._leaving_bytes)
+        self._leaving_bytes = 0
 
     def _reserve(self, byte_count: int) -> None:
         while not self._budget.reserve(self, byte_count):
+            if self._budget.leaving_bytes >= byte_count:
+                # The handlers of responses that were shed are about to let go of it.
+                gevent.sleep(0)
+                continue
             victim = self._budget.largest(self, byte_count)
             assert isinstance(victim, ResponseBuffer)
             detail = victim._shed()
             if victim is self:
                 self._raise_cut(detail)
-            # Its handler lets go of its bytes before this response gets more.
-            gevent.sleep(0)
 
     def _shed(self) -> str:
         """Discard what is buffered, end the response, and return the reason."""
@@ -179,7 +185,13 @@
         raise ResponseCut(detail)
 
     def _discard(self) -> None:
-        self._budget.release(self, self._budget.held_bytes(self))
+        if self._handler_task in (None, gevent.getcurrent()):
+            self._budget.release(self, self._budget.held_bytes(self))
+        else:
+            self._leaving_bytes += self._budget.begin_leaving(self)
+        # The frames of a task that is killed keep its views for a while.
+        for view in self._pending:
+            view.release()
         self._pending = deque()
         self._collected_bytes = 0
         if self._writer_task not in (None, gevent.getcurrent()):
@@ -190,15 +202,16 @@
         pending = self._pending
         try:
             while pending:
-                view = pending[0]
-                with gevent.Timeout(READ_TIMEOUT_S):
-                    written_count = self._exchange.write_some(view[:_BLOCK_BYTES])
+                with (
+                    pending[0][:_BLOCK_BYTES] as block,
+                    gevent.Timeout(READ_TIMEOUT_S),
+                ):
+                    written_count = self._exchange.write_some(block)
                 if pending is not self._pending:
                     return
-                if written_count < len(view):
-                    pending[0] = view[written_count:]
-                else:
-                    pending.popleft()
+                with pending.popleft() as view:
+                    if written_count < len(view):
+                        pending.appendleft(view[written_count:])
                 self._budget.release(self, written_count)
         except gevent.Timeout:
             self._cut(f"the caller read nothing for {READ_TIMEOUT_S:.0f} s")
--- a/tests/test_crowded_gateway.py
+++ b/tests/test_crowded_gateway.py
@@ -185,7 +185,15 @@
 
 
 @pytest.mark.parametrize(
-    "kind", ["body-in-one-piece", "body-in-tiny-chunks", "many-fields", "silent"]
+    "kind",
+    [
+        "body-in-one-piece",
+        "body-in-tiny-chunks",
+        "many-fields",
+        "silent",
+        "answers-unread",
+        "answers-read-slowly",
+    ],
 )
 def test_memory_does_not_grow_while_a_crowd_stays(
     gateway: Gateway, tmp_path: Path, kind: str
