--- a/review/rig2.py
+++ b/review/rig2.py
@@ -446,6 +446,11 @@
         self._folder = folder
         self.process: asyncio.subprocess.Process | None = None
 
+    @property
+    def settings(self) -> Path:
+        """Return the path of the settings file."""
+        return self._folder / f"{self.name}.toml"
+
     @property
     def front(self) -> tuple[str, int]:
         """Return the address for requests."""
@@ -456,7 +461,7 @@
     ) -> None:
         """Start the process."""
         low = free_port(self.ip)
-        settings = self._folder / f"{self.name}.toml"
+        settings = self.settings
         settings.write_text(
             SETTINGS.format(
                 name=self.name,
