--- a/review/rig2.py
+++ b/review/rig2.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -30,11 +31,24 @@
 MAX_ROWS = 500
 
 
+# Below the ports that the kernel gives to outgoing connections.
+FIRST_PORT, LAST_PORT = 10_000, 30_000
+_used_ports: set[tuple[str, int]] = set()
+
+
 def free_port(ip: str = "127.0.0.1") -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free now, and that was not returned before."""
+    while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        if (ip, port) in _used_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind((ip, port))
+            except OSError:
+                continue
+        _used_ports.add((ip, port))
+        return port
 
 
 class Record:
@@ -432,13 +446,31 @@
 """
 
 
+def _free_subnet() -> int:
+    """Return the third byte of addresses at which no gateway serves its metrics."""
+    while True:
+        subnet = random.randint(20, 250)
+        try:
+            for number in range(16):
+                with socket.socket() as sock:
+                    sock.bind((f"127.0.{subnet}.{10 + number}", METRICS_PORT))
+        except OSError:
+            continue
+        return subnet
+
+
+METRICS_PORT = 9464
+_SUBNET = _free_subnet()
+
+
 class Gateway:
     """One gateway process, started with the command of the deploy file."""
 
     def __init__(self, number: int, zone: str, region: str, folder: Path) -> None:
         self.name = f"edge-{zone}-{number}"
         self.zone, self.region = zone, region
-        self.ip = f"127.0.{os.getpid() % 200 + 20}.{10 + number}"
+        # All gateways use the same port for their metrics.
+        self.ip = f"127.0.{_SUBNET}.{10 + number}"
         self.ports = {
             name: free_port(self.ip)
             for name in ("front", "ready", "control", "directory")
@@ -632,6 +664,13 @@
     return answer
 
 
+async def _run_case(run, record: Record, folder: Path, has_trouble: bool) -> bool:
+    """Run a case; a SIGTERM ends it with all processes that it has started."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run(record, folder, has_trouble)
+
+
 def main(run, folder: Path) -> None:
     """Run a case: ``run(record, folder, trouble)`` returns whether the rule held."""
     record = Record(folder / "record.txt")
@@ -639,8 +678,8 @@
     record(f"trouble: {has_trouble}")
     try:
         with tempfile.TemporaryDirectory() as temporary:
-            has_held = asyncio.run(run(record, Path(temporary), has_trouble))
-    except Exception as exc:  # the case could not run
+            has_held = asyncio.run(_run_case(run, record, Path(temporary), has_trouble))
+    except (Exception, asyncio.CancelledError) as exc:  # the case could not run
         record(f"could not run: {exc!r}")
         print(f"could not run: {exc!r}", file=sys.stderr)
         sys.exit(2)
