Let the list of engines of case 7 have three pages

Cause: with two pages a faster machine might miss the moment more often.

Change: 1,200 engines instead of 800, of which 300 leave. Nothing is fixed.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -25,7 +25,7 @@
 SERVICE = "xano55b"
 ZONE, REGION = "mtl-plateau", "montreal"
 ROUTE = route("slot-lookup", "idempotent", SERVICE, timeoutMs=1000, targetLatencyMs=200)
-ENGINES, TAKEN_AWAY, GATEWAYS = 800, 200, 4
+ENGINES, TAKEN_AWAY, GATEWAYS = 1200, 300, 4
 # Engines of a fleet of this size write their entries at this interval.
 BEAT_S = 4.0
 DRAIN_S, CONTACT_S = 2.5, 4.0
