--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
-exec timeout --kill-after=5 115 python3 case.py
+exec timeout --kill-after=5 115 python3 -B case.py
