Find out which version began a stream at an engine that restarted

Cause: a stream that begins at an engine that may have started again is bound to no version for good. The doubt lasts until the engine's new entry is read, less than a second, but the decision was made once, at the first event. Change: VersionWatch follows such a stream until the reads of the entries tell its version; holders of the origin know that it is pending, and a caller that takes the stream up waits up to 1.5 s; a stream that breaks off in doubt waits as long before its answer is cut off. Why this works: the first read that began 0.3 s after the connection was opened has the entry of the process at its other end or of a later one; equal versions, or events after the read, tell which.

--- a/libs/decisions/sapphirehoist/decisions/__init__.py
+++ b/libs/decisions/sapphirehoist/decisions/__init__.py
@@ -136,6 +136,7 @@
 from sapphirehoist.decisions.subset import endpoint_subset, rendezvous_score
 from sapphirehoist.decisions.team_shares import TeamShares
 from sapphirehoist.decisions.tunnel_helpers import TunnelHelper, TunnelHelpers
+from sapphirehoist.decisions.version_watch import VersionWatch, VersionWatches
 
 __all__ = [
     "MAX_BACKOFF_S",
@@ -229,6 +230,8 @@
     "TunnelHelpers",
     "UnlimitedRetry",
     "UrgentFirstBatching",
+    "VersionWatch",
+    "VersionWatches",
     "VmLoad",
     "budget_bytes",
     "cold_burst",
--- a/libs/decisions/sapphirehoist/decisions/endpoint_restarts.py
+++ b/libs/decisions/sapphirehoist/decisions/endpoint_restarts.py
@@ -84,6 +84,11 @@
         while self._find(oldest := next(iter(self._losses))) is None:
             del self._losses[oldest]
 
+    def lost_at(self, endpoint: str) -> float | None:
+        """Return when an attempt was last lost at `endpoint`; None if not lately."""
+        loss = self._find(endpoint)
+        return None if loss is None else loss.at
+
     def may_have_restarted(
         self,
         endpoint: str,
--- a/libs/discovery/sapphirehoist/discovery/directory.py
+++ b/libs/discovery/sapphirehoist/discovery/directory.py
@@ -92,6 +92,7 @@
         "_draining_since",
         "_gone",
         "_in_service_records",
+        "_incarnation_listeners",
         "_is_loaded",
         "_left_versions",
         "_listeners",
@@ -123,6 +124,7 @@
         self._missing_since: dict[str, float] = {}
         self._is_loaded = False
         self._listeners: list[Callable[[Departure, EndpointRecord], None]] = []
+        self._incarnation_listeners: list[Callable[[EndpointRecord], None]] = []
 
     def on_departure(
         self, listener: Callable[[Departure, EndpointRecord], None]
@@ -130,6 +132,10 @@
         """Call `listener` when an endpoint starts draining or is gone."""
         self._listeners.append(listener)
 
+    def on_incarnation(self, listener: Callable[[EndpointRecord], None]) -> None:
+        """Call `listener` with the first entry of each incarnation."""
+        self._incarnation_listeners.append(listener)
+
     @property
     def is_loaded(self) -> bool:
         """Return whether the full table was loaded, from the store or from a peer."""
@@ -257,6 +263,8 @@
         self._rebuild_service_index()
         if known is None or known.born_ms != record.born_ms:
             self._log_change(record, "new", source)
+            for listener in self._incarnation_listeners:
+                listener(record)
         elif (known.phase, known.service) != (record.phase, record.service):
             self._log_change(record, record.phase.value, source)
         was_draining = known is not None and known.phase is EndpointPhase.DRAINING
--- a/libs/discovery/sapphirehoist/discovery/follower.py
+++ b/libs/discovery/sapphirehoist/discovery/follower.py
@@ -48,6 +48,8 @@
 _OUTAGE_THRESHOLD_S = 1.5
 # Reads in this period after such a gap are reported with `is_after_outage`.
 _POST_OUTAGE_S = 3.0
+# A shared read reaches the other nodes of a region within this time.
+_MAX_DELIVERY_S = 0.1
 # Periodic full reads repair what the change feed has missed. The interval grows with
 # the table, so that full reads cost no more than this rate.
 _FULL_READ_INTERVAL_S = 20.0
@@ -101,6 +103,7 @@
         "_name",
         "_outage_ended_at",
         "_outage_started_at",
+        "_read_listeners",
         "_retry_delay_s",
         "_revision",
         "_sharing",
@@ -141,6 +144,14 @@
         self._full_read_at = 0.0
         self._table_bytes = 0
         self.last_read_at: float | None = None
+        self._read_listeners: list[Callable[[float, float], None]] = []
+
+    def on_read(self, listener: Callable[[float, float], None]) -> None:
+        """Call `listener` after each read was applied, an own or a shared one.
+
+        It receives the monotonic times between which the store has answered.
+        """
+        self._read_listeners.append(listener)
 
     def run(self) -> None:
         """Read in a loop until the greenlet is killed."""
@@ -182,7 +193,8 @@
             self._outage_ended_at = self._clock.monotonic()
             self._revision = None
             self._listener.on_restore(outcome)
-        self._apply(outcome, is_full_read=revision is None)
+        self._apply(outcome, started_at, is_full_read=revision is None)
+        self._publish_read(started_at)
         interval_s = self._read_interval_s()
         if self._sharing.is_reader():
             interval_s -= self._clock.monotonic() - started_at
@@ -200,16 +212,23 @@
         # The changes up to this read are known without a gap, also after failed reads.
         self._is_full_read_needed = False
         self._full_read_at = self._clock.monotonic()
-        if read.revision <= self._revision:
-            return
-        self._revision = read.revision
-        self._changes.apply(read.rows)
-        if read.rows:
-            is_after_outage = read.is_after_outage or self._is_after_outage()
-            rows = TableRows(read.rows, read.revision, read.era)
-            self._listener.on_changes(rows, is_after_outage)
+        began_at = self._full_read_at - read.duration_s - _MAX_DELIVERY_S
+        if read.revision > self._revision:
+            self._revision = read.revision
+            self._changes.apply(read.rows)
+            if read.rows:
+                is_after_outage = read.is_after_outage or self._is_after_outage()
+                rows = TableRows(read.rows, read.revision, read.era)
+                self._listener.on_changes(rows, is_after_outage)
+        self._publish_read(began_at)
+
+    def _publish_read(self, began_at: float) -> None:
+        """Tell the listeners of a read that was applied."""
+        if self.last_read_at is not None:
+            for listener in self._read_listeners:
+                listener(began_at, self.last_read_at)
 
-    def _apply(self, outcome: TableRows, is_full_read: bool) -> None:
+    def _apply(self, outcome: TableRows, started_at: float, is_full_read: bool) -> None:
         """Deliver a read to the listener, and pass it on if other nodes rely on it."""
         is_after_outage = self._is_after_outage()
         if is_full_read:
@@ -235,6 +254,7 @@
                     outcome.revision,
                     changed_rows,
                     is_after_outage,
+                    self._clock.monotonic() - started_at,
                 )
             )
 
--- a/libs/discovery/sapphirehoist/discovery/read_sharing.py
+++ b/libs/discovery/sapphirehoist/discovery/read_sharing.py
@@ -24,6 +24,8 @@
         Changed rows, without those whose change is of no use to other nodes.
     is_after_outage : bool
         As for `TableListener`.
+    duration_s : float
+        Time since the call began that the store has answered.
     """
 
     era: int
@@ -31,6 +33,7 @@
     revision: int
     rows: tuple[TableRow, ...]
     is_after_outage: bool
+    duration_s: float
 
 
 class ReadSharing(ABC):
--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -53,6 +53,8 @@
 # Interval at which an attempt that is past its limit, and was kept for lack of another
 # endpoint, is checked again.
 _RECHECK_INTERVAL_S = 0.25
+# A read that takes longer than this has found no bytes that had arrived before.
+_MIN_WAIT_S = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -418,22 +420,31 @@
         # Stated by the head of this reply.
         slowdown = self._endpoints.loads.slowdown(record.name)
         while not refusal:
+            awaited_since = self._clock.monotonic()
             chunk = self._read_stream_block(
                 context, reply, inputs, progress, last_event_at, limit
             )
+            received_at = self._clock.monotonic()
+            watch = progress.version_watch
             if isinstance(chunk, TruncatedBody):
+                if watch is not None:
+                    watch.end()
                 return _broken(progress, chunk.detail, head)
+            # Bytes that were waited for have not been sent before.
+            if watch is not None and received_at - awaited_since >= _MIN_WAIT_S:
+                watch.record_event(awaited_since)
             if not chunk:
                 refusal = relay.end_answer(head)
                 break
-            received_at = self._clock.monotonic()
             admitted = relay.forward(head, chunk)
             refusal = admitted.refusal
             # The time in which the caller accepts no bytes is no silence of the engine.
             write_s = self._clock.monotonic() - received_at
             if admitted.event_count:
                 if last_event_at is None:
-                    self._record_first_event(context, record, inputs, progress, trace)
+                    self._record_first_event(
+                        context, record, reply.connected_at, inputs, progress, trace
+                    )
                 else:
                     gap_s = (received_at - last_event_at) / admitted.event_count
                     gaps_s.append(gap_s)
@@ -443,6 +454,8 @@
                 last_event_at += write_s
             else:
                 limit.extend(write_s)
+        if progress.version_watch is not None:
+            progress.version_watch.end()
         if refusal:
             reply.discard()
             return _broken(progress, f"{record.address}: {refusal}", head)
@@ -453,6 +466,7 @@
         self,
         context: RequestContext,
         record: EndpointRecord,
+        connected_at: float,
         inputs: StageInputs | None,
         progress: RequestProgress,
         trace: RequestTrace,
@@ -470,7 +484,7 @@
             )
         self._crash_quarantine.record_start(context.shared_prompt_parts)
         if progress.software_version is None:
-            self._bind_to_first_endpoint(context, record, progress)
+            self._bind_to_first_endpoint(context, record, connected_at, progress)
         self._end_prefill(record.name, progress)
         if trace.first_event_s is None:
             trace.first_event_s = trace.elapsed_s()
@@ -479,16 +493,28 @@
             inputs.release()
 
     def _bind_to_first_endpoint(
-        self, context: RequestContext, record: EndpointRecord, progress: RequestProgress
+        self,
+        context: RequestContext,
+        record: EndpointRecord,
+        connected_at: float,
+        progress: RequestProgress,
     ) -> None:
-        """Bind a stream that begins to the version of the endpoint that began it."""
-        progress.software_version = record.software_version
-        progress.is_version_confirmed = not self._endpoints.may_have_restarted(record)
-        if context.is_resumable_stream and progress.is_version_confirmed:
-            self._stream_origins.record_start(
-                context.metadata.stream_id,
-                record,
-                context.deadline_at - self._clock.monotonic(),
+        """Bind a stream that begins to the version of the endpoint that began it.
+
+        If the endpoint may have started again, the version is found out meanwhile.
+        """
+        is_confirmed = not self._endpoints.may_have_restarted(record)
+        progress.bind_to_version(record.software_version, is_confirmed)
+        if not context.is_resumable_stream:
+            return
+        stream_id = context.metadata.stream_id
+        remaining_s = context.deadline_at - self._clock.monotonic()
+        lost_at = self._endpoints.lost_at(record.name)
+        if is_confirmed:
+            self._stream_origins.record_start(stream_id, record, remaining_s)
+        elif lost_at is not None:
+            progress.version_watch = self._stream_origins.watch_start(
+                stream_id, record, remaining_s, lost_at, connected_at
             )
 
     def _read_stream_block(
--- a/libs/gateway/sapphirehoist/gateway/candidates.py
+++ b/libs/gateway/sapphirehoist/gateway/candidates.py
@@ -63,6 +63,8 @@
     ----------
     may_have_restarted : callable
         Returns whether an endpoint may have another software version than its record.
+    lost_at : callable
+        Returns the monotonic time of the last loss at an endpoint; None if not lately.
     get_pace_factors : callable
         Returns the work time of engines of a service by name, relative to a typical
         one.
@@ -84,6 +86,7 @@
         "_zone",
         "get_pace_factors",
         "loads",
+        "lost_at",
         "may_have_restarted",
     )
 
@@ -113,6 +116,7 @@
         self._pacing = pacing
         self._is_evacuated = is_evacuated
         self.may_have_restarted: Callable[[EndpointRecord], bool] = lambda _: False
+        self.lost_at: Callable[[str], float | None] = lambda _: None
         self.get_pace_factors: Callable[[str], Mapping[str, float]] = lambda _: {}
         self._generation_tokens: Counter[str] = Counter()
         # Names of the endpoints whose last report stated an invalid slowdown.
--- a/libs/gateway/sapphirehoist/gateway/dispatch.py
+++ b/libs/gateway/sapphirehoist/gateway/dispatch.py
@@ -36,6 +36,10 @@
 # Statuses that guarantee to a caller that its request was not executed.
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 _RETRY_AFTER_S = 0.25
+# Longer than the time between two reads of the endpoints, and shorter than the gap
+# after which callers abandon a stream.
+_VERSION_TIMEOUT_S = 1.5
+_VERSION_POLL_INTERVAL_S = 0.05
 
 
 class Dispatcher:
@@ -122,6 +126,7 @@
         """
         last_result: AttemptResult | None = None
         while True:
+            self._await_version(context, progress)
             if not progress.may_go_on:
                 return self._failure_outcome(progress, last_result, None)
             error = self._checks.check_attempt(context, progress)
@@ -166,6 +171,22 @@
             if action is NextAction.GIVE_UP:
                 return self._failure_outcome(progress, last_result, None)
 
+    def _await_version(
+        self, context: RequestContext, progress: RequestProgress
+    ) -> None:
+        """Wait until it is known which version began a stream that has broken off."""
+        watch = progress.version_watch
+        if (
+            watch is None
+            or not progress.relay.may_go_on
+            or progress.send_count >= context.route.max_attempts
+        ):
+            return
+        now = self._clock.monotonic()
+        ends_at = min(now + _VERSION_TIMEOUT_S, context.time_limit_at)
+        while not watch.is_decided and self._clock.monotonic() < ends_at:
+            self._clock.sleep(_VERSION_POLL_INTERVAL_S)
+
     def _make_attempt(
         self,
         context: RequestContext,
--- a/libs/gateway/sapphirehoist/gateway/node.py
+++ b/libs/gateway/sapphirehoist/gateway/node.py
@@ -539,6 +539,7 @@
             self._possible_node_count,
             self._change_bound_s,
         )
+        self._endpoint_follower.on_read(self._stream_origin_sync.apply_read)
         readers.add_follower(_CONFIG_TABLE, self._config_follower)
         readers.add_follower(_ENDPOINT_TABLE, self._endpoint_follower)
 
@@ -802,6 +803,7 @@
             clock,
         )
         restarts = EndpointRestarts(clock)
+        endpoints.lost_at = restarts.lost_at
         endpoints.may_have_restarted = lambda record: restarts.may_have_restarted(
             record.name,
             self._endpoint_connections.connected_at(record.address),
--- a/libs/gateway/sapphirehoist/gateway/region_read_sharing.py
+++ b/libs/gateway/sapphirehoist/gateway/region_read_sharing.py
@@ -35,6 +35,8 @@
         MessagePack of the changed rows, as pairs of key and value.
     is_compressed : bool
         Whether `rows` is compressed with zlib.
+    duration_s : float
+        As in `SharedRead`; nodes that do not state it poll for about as long.
     """
 
     KIND: ClassVar[str] = "gateway.shared_read"
@@ -46,6 +48,7 @@
     is_after_outage: bool
     rows: bytes
     is_compressed: bool
+    duration_s: float = 1.5
 
 
 class ReadFailureMessage(PeerMessage, frozen=True, array_like=True):
@@ -134,6 +137,7 @@
             read.is_after_outage,
             rows,
             is_compressed,
+            read.duration_s,
         )
         self._bus.notify_all([m.peer_address for m in self.others()], message)
 
@@ -176,6 +180,7 @@
                 message.revision,
                 rows,
                 message.is_after_outage,
+                message.duration_s,
             )
         )
 
--- a/libs/gateway/sapphirehoist/gateway/request_checks.py
+++ b/libs/gateway/sapphirehoist/gateway/request_checks.py
@@ -132,7 +132,7 @@
                 f"no endpoint of software version {origin.software_version}",
                 _VERSION_RETRY_AFTER_S,
             )
-        progress.software_version = origin.software_version
+        progress.bind_to_version(origin.software_version)
         return None
 
     def check_backoff(
--- a/libs/gateway/sapphirehoist/gateway/request_context.py
+++ b/libs/gateway/sapphirehoist/gateway/request_context.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from sapphirehoist.decisions import PlacementCandidate, request_trait
+from sapphirehoist.decisions import PlacementCandidate, VersionWatch, request_trait
 from sapphirehoist.gateway.buffered_relay import ResponseBuffer
 from sapphirehoist.gateway.codec import RequestMetadata
 from sapphirehoist.gateway.error_response import ErrorResponse
@@ -206,10 +206,8 @@
         The endpoint of the last attempt, as it was when it was chosen.
     is_quarantine_trial : bool
         Whether the request is sent to test a quarantined part of its prompt.
-    software_version : str or None
-        Software version that began the stream; None if no event was sent yet.
-    is_version_confirmed : bool
-        Whether `software_version` is certain; no other engine may go on otherwise.
+    version_watch : VersionWatch or None
+        Finds out which version began the stream; None if there was no doubt.
     streamed_head : ResponseHead or None
         Head of the stream of which the caller has received a part.
     pending_prefill_tokens : int
@@ -218,18 +216,19 @@
 
     __slots__ = (
         "attempt_started_at",
+        "_is_version_confirmed",
+        "_software_version",
         "candidate",
         "is_attempt_in_flight",
         "is_quarantine_trial",
-        "is_version_confirmed",
         "may_have_run",
         "pending_prefill_tokens",
         "relay",
         "response_buffer",
         "send_count",
-        "software_version",
         "streamed_head",
         "tried_endpoints",
+        "version_watch",
     )
 
     def __init__(
@@ -244,11 +243,36 @@
         self.is_attempt_in_flight = False
         self.attempt_started_at = 0.0
         self.is_quarantine_trial = False
-        self.software_version: str | None = None
-        self.is_version_confirmed = True
+        self._software_version: str | None = None
+        self._is_version_confirmed = True
+        self.version_watch: VersionWatch | None = None
         self.streamed_head: ResponseHead | None = None
         self.pending_prefill_tokens = 0
 
+    @property
+    def software_version(self) -> str | None:
+        """Return the version that began the stream; None if no event was sent yet."""
+        watch = self.version_watch
+        if watch is not None and watch.software_version is not None:
+            return watch.software_version
+        return self._software_version
+
+    @property
+    def is_version_confirmed(self) -> bool:
+        """Return whether `software_version` is certain.
+
+        No other engine may go on otherwise.
+        """
+        watch = self.version_watch
+        return self._is_version_confirmed or (
+            watch is not None and watch.software_version is not None
+        )
+
+    def bind_to_version(self, software_version: str, is_confirmed: bool = True) -> None:
+        """Bind the stream to the version that began it."""
+        self._software_version = software_version
+        self._is_version_confirmed = is_confirmed
+
     @property
     def may_go_on(self) -> bool:
         """Return whether another endpoint may be tried, where a stream has begun."""
--- a/libs/gateway/sapphirehoist/gateway/stream_origin_sync.py
+++ b/libs/gateway/sapphirehoist/gateway/stream_origin_sync.py
@@ -19,11 +19,13 @@
     StreamOrigin,
     StreamOrigins,
     TrackedStream,
+    VersionWatch,
     infer_origin,
     may_infer_origin,
     stream_holders,
 )
 from sapphirehoist.discovery import EndpointDirectory, EndpointRecord
+from sapphirehoist.gateway.pending_stream_origins import PendingStreamOrigins
 from sapphirehoist.gateway.stream_origin_journal import (
     StreamOriginEntry,
     StreamOriginJournal,
@@ -41,6 +43,9 @@
 # Longer than the time between two reads of the endpoints.
 _READ_TIMEOUT_S = 1.5
 _READ_POLL_INTERVAL_S = 0.05
+# A caller that takes a stream up waits this long for an origin that will be known.
+_PENDING_TIMEOUT_S = 1.5
+_PENDING_POLL_INTERVAL_S = 0.1
 # A caller that takes its stream up just before its deadline may reach a node after it.
 _EXPIRY_MARGIN_S = 2.0
 
@@ -75,6 +80,8 @@
         Software versions that the sender has lately seen at the service.
     knows_past : bool
         Whether these include the versions of before the sender started.
+    is_pending : bool
+        Whether the origin is not certain yet, and will be known soon.
     """
 
     KIND: ClassVar[str] = "gateway.stream_origin_reply"
@@ -82,6 +89,7 @@
     origins: list[StreamOriginEntry]
     recent_versions: list[str]
     knows_past: bool = True
+    is_pending: bool = False
 
 
 class StreamOriginSync:
@@ -117,6 +125,7 @@
         "_journal",
         "_mixed_services",
         "_origins",
+        "_pending",
         "_unsent",
     )
 
@@ -141,6 +150,8 @@
         self._clock = clock
         self._mixed_services: set[str] = set()
         self._unsent: list[TrackedStream] = []
+        self._pending = PendingStreamOrigins(fleet, bus, _HOLDER_COUNT, clock)
+        directory.on_incarnation(self._pending.apply_entry)
         bus.subscribe(StreamOriginsUpdate, self._handle_update)
         bus.subscribe(StreamOriginRequest, self._handle_request)
 
@@ -164,6 +175,39 @@
         if endpoint.service in self._mixed_services:
             self._unsent.append(stream)
 
+    def watch_start(
+        self,
+        request_id: str,
+        endpoint: EndpointRecord,
+        remaining_s: float,
+        lost_at: float,
+        connected_at: float,
+    ) -> VersionWatch:
+        """Record that a stream has begun at an endpoint that may have started again.
+
+        See `record_start` and `VersionWatch` for the parameters.
+        """
+        watch = self._pending.begin(
+            request_id,
+            endpoint,
+            remaining_s + _EXPIRY_MARGIN_S,
+            lost_at,
+            connected_at,
+        )
+        if endpoint.service in self._mixed_services:
+            self._pending.announce(request_id)
+        return watch
+
+    def apply_read(self, began_at: float, ended_at: float) -> None:
+        """Learn from a read of the endpoints, which has been applied.
+
+        Parameters
+        ----------
+        began_at, ended_at : float
+            Monotonic times between which the store has answered.
+        """
+        self._pending.apply_read(began_at, ended_at)
+
     def find(self, request_id: str, service: str) -> StreamOrigin | None:
         """Return where a stream began that a caller takes up; None if in doubt.
 
@@ -174,22 +218,24 @@
         service : str
             Service at which the stream would go on.
         """
-        origin = self._origins.get(request_id)
-        if origin is not None:
-            return origin
         started_at = self._clock.monotonic()
-        knows_past = self._journal.is_loaded
-        versions: set[str] = set()
-        asked_count, replies = self._ask_holders(
-            StreamOriginRequest(request_id, service)
-        )
-        for reply in replies:
-            if reply.origins:
-                stream = reply.origins[0].to_stream()
-                self._origins.record(stream)
-                return stream.origin
-            versions.update(reply.recent_versions)
-            knows_past |= reply.knows_past
+        request = StreamOriginRequest(request_id, service)
+        while True:
+            asked_count, replies = 0, list[StreamOriginReply]()
+            origin = self._origins.get(request_id)
+            if origin is None and not self._pending.is_pending(request_id):
+                asked_count, replies = self._ask_holders(request)
+                origin = self._record_replies(replies)
+            if origin is not None:
+                return origin
+            is_pending = any(reply.is_pending for reply in replies)
+            if not is_pending and not self._pending.is_pending(request_id):
+                break
+            if self._clock.monotonic() >= started_at + _PENDING_TIMEOUT_S:
+                return None
+            self._clock.sleep(_PENDING_POLL_INTERVAL_S)
+        versions = {v for reply in replies for v in reply.recent_versions}
+        knows_past = self._journal.is_loaded or any(r.knows_past for r in replies)
         if not knows_past:
             return None
         may_infer = may_infer_origin(
@@ -211,6 +257,17 @@
             return None
         return infer_origin(service, versions | self._known_versions(service))
 
+    def _record_replies(
+        self, replies: Iterable[StreamOriginReply]
+    ) -> StreamOrigin | None:
+        """Record the stream that a holder knows; return its origin."""
+        for reply in replies:
+            if reply.origins:
+                stream = reply.origins[0].to_stream()
+                self._origins.record(stream)
+                return stream.origin
+        return None
+
     def _is_current(self, now: float) -> bool:
         """Return whether this node knows the endpoints of a propagation bound ago."""
         read_at = self._get_endpoints_read_at()
@@ -231,6 +288,8 @@
         while True:
             self._clock.sleep(_SEND_INTERVAL_S)
             self._update_mixed_services()
+            self._record_certain_streams()
+            self._pending.send()
             if self._unsent:
                 streams, self._unsent = self._unsent, []
                 self._send(streams)
@@ -239,6 +298,16 @@
     def remove_expired(self) -> None:
         """Discard the streams that no caller takes up any more."""
         self._origins.remove_expired()
+        self._pending.remove_expired()
+
+    def _record_certain_streams(self) -> None:
+        """Record the streams whose origin has become certain."""
+        certain = self._pending.take_decided(self._mixed_services.__contains__)
+        for request_id, origin, remaining_s in certain:
+            stream = TrackedStream(request_id, origin, remaining_s)
+            self._origins.record(stream)
+            if origin.service in self._mixed_services:
+                self._unsent.append(stream)
 
     def _update_mixed_services(self) -> None:
         """Notice which services have several versions; send their present streams."""
@@ -248,6 +317,7 @@
         self._journal.set_versions(mixed_versions)
         for service in mixed_versions.keys() - self._mixed_services:
             self._unsent.extend(self._origins.streams_of(service))
+            self._pending.announce_service(service)
             _logger.info(
                 "several software versions serve",
                 extra={"service": service, "versions": mixed_versions[service]},
@@ -296,8 +366,10 @@
         )
 
     def _handle_update(self, sender: str, update: StreamOriginsUpdate) -> None:
-        for entry in update.entries:
-            self._origins.record(entry.to_stream())
+        streams = [entry.to_stream() for entry in update.entries]
+        for stream in streams:
+            self._origins.record(stream)
+        self._pending.forget(streams)
 
     def _handle_request(
         self, sender: str, request: StreamOriginRequest
@@ -306,7 +378,8 @@
         knows_past = self._journal.is_loaded
         origin = self._origins.get(request.request_id)
         if origin is None:
-            return StreamOriginReply([], versions, knows_past)
+            is_pending = self._pending.is_pending(request.request_id)
+            return StreamOriginReply([], versions, knows_past, is_pending)
         stream = TrackedStream(request.request_id, origin, _EXPIRY_MARGIN_S)
         entry = StreamOriginEntry.from_stream(stream)
         return StreamOriginReply([entry], versions, knows_past)
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -82,6 +82,11 @@
         text = self.head.headers.get("content-length")
         return int(text) if text.isdecimal() else None
 
+    @property
+    def connected_at(self) -> float:
+        """Return the monotonic time at which the connection was opened, in seconds."""
+        return self._conn.opened_at
+
     def read_block(self) -> bytes | TruncatedBody:
         """Return the next bytes of the body, or empty bytes at its end."""
         return self._conn.read_block()
