Accept only status lines with three digits in the pools on urllib3

Cause: http.client takes what int() takes, between 100 and 999, for a status. Change: a status line needs three digits from 100 to 599, otherwise the reply is lost.

--- a/libs/http1/sapphirehoist/http1/whole_responses.py
+++ b/libs/http1/sapphirehoist/http1/whole_responses.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from http.client import HTTPException, HTTPResponse
+import re
+from http.client import BadStatusLine, HTTPException, HTTPResponse
 from typing import Any
 
 import urllib3
@@ -14,6 +15,7 @@
 from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
 
 _STATUS_SWITCHING_PROTOCOLS = 101
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}([ \r\n]|$)")
 # Of informational heads and the final one, of which `http.client` allows 100 each.
 _MAX_HEAD_LINES = 200
 
@@ -25,11 +27,12 @@
 class _HeadFile:
     """File of the head of a response, whose lines have to be whole and are limited."""
 
-    __slots__ = ("_file", "_line_count")
+    __slots__ = ("_file", "_line_count", "last_line")
 
     def __init__(self, file: Any) -> None:
         self._file = file
         self._line_count = 0
+        self.last_line = b""
 
     def readline(self, limit: int) -> bytes:
         line: bytes = self._file.readline(limit)
@@ -39,6 +42,7 @@
         self._line_count += 1
         if self._line_count > _MAX_HEAD_LINES:
             raise _InvalidHead("a head without end")
+        self.last_line = line
         return line
 
     def close(self) -> None:
@@ -48,6 +52,14 @@
 class _WholeHeadResponse(HTTPResponse):
     """Response whose first final head has to be whole."""
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read a status line; `http.client` accepts what `int` takes for a number."""
+        version, status, reason = super()._read_status()  # type: ignore[misc]
+        file: Any = self.fp
+        if not _STATUS_LINE.match(file.last_line):
+            raise BadStatusLine(repr(file.last_line))
+        return version, status, reason
+
     def begin(self) -> None:
         if self.headers is not None:
             return
