Let other tasks run while answers of endpoints are parsed, and bound informational heads

No form took more than the memory of a process. Cause: the loop that reads answers gave way once in 16 receives of 64 KB, each of which may hold thousands of heads, chunks or events to parse. Informational heads had no limit. Change: connections to endpoints take turns after 32 parsed events, streams after 2 KB; an answer has 100 informational heads at most; small chunks that arrived together are joined, and an event in small chunks is collected without copies. Why this works: no piece of work between two turns is longer than a few milliseconds, and turns of several connections leave half of the time to tasks that wait for input.

--- a/libs/decisions/sapphirehoist/decisions/event_stream.py
+++ b/libs/decisions/sapphirehoist/decisions/event_stream.py
@@ -94,12 +94,13 @@
     __slots__ = ("_partial",)
 
     def __init__(self) -> None:
-        self._partial = b""
+        # Many small chunks may form one event, so that none may cost a copy of it.
+        self._partial = bytearray()
 
     @property
     def partial(self) -> bytes:
         """Return the bytes that no empty line has followed yet."""
-        return self._partial
+        return bytes(self._partial)
 
     @property
     def is_within_block(self) -> bool:
@@ -126,11 +127,14 @@
         """
         # An empty line may have begun with the last bytes before `chunk`.
         search_start = max(0, len(self._partial) - 3)
-        data = self._partial + chunk
-        blocks = []
-        start = 0
-        for match in _BLOCK_END.finditer(data, search_start):
-            blocks.append(EventBlock.parse(data[start : match.end()]))
-            start = match.end()
-        self._partial = data[start:]
+        data = self._partial
+        data += chunk
+        ends = [match.end() for match in _BLOCK_END.finditer(data, search_start)]
+        starts = [0, *ends[:-1]]
+        blocks = [
+            EventBlock.parse(bytes(data[start:end]))
+            for start, end in zip(starts, ends, strict=False)
+        ]
+        if ends:
+            del data[: ends[-1]]
         return blocks
--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -16,6 +16,7 @@
 from sapphirehoist.gateway.crash_quarantine_sync import CrashQuarantineSync
 from sapphirehoist.gateway.endpoint_chooser import EndpointChooser
 from sapphirehoist.gateway.engine_pace_sync import EnginePaceSync
+from sapphirehoist.gateway.relay import EventRelay
 from sapphirehoist.gateway.request_context import (
     RequestContext,
     RequestProgress,
@@ -34,6 +35,7 @@
     TruncatedBody,
 )
 from sapphirehoist.routes import RequestKind
+from sapphirehoist.sockets import WorkTurns
 
 _SUCCESS_STATUSES = range(200, 300)
 # Status of an endpoint that did not run a request because a stage result is gone.
@@ -53,6 +55,8 @@
 # Interval at which an attempt that is past its limit, and was kept for lack of another
 # endpoint, is checked again.
 _RECHECK_INTERVAL_S = 0.25
+# A block of 64 KB may hold thousands of events, each of which is parsed.
+_FORWARDED_BYTES = 2_048
 # A read that takes longer than this has found no bytes that had arrived before.
 _MIN_WAIT_S = 0.005
 
@@ -189,6 +193,7 @@
         "_engine_paces",
         "_retry_budget",
         "_stream_origins",
+        "_turns",
     )
 
     def __init__(
@@ -212,6 +217,7 @@
         self._stream_origins = stream_origins
         self._engine_paces = engine_paces
         self._clock = clock
+        self._turns = WorkTurns(clock)
 
     def send(
         self,
@@ -436,17 +442,16 @@
             if not chunk:
                 refusal = relay.end_answer(head)
                 break
-            admitted = relay.forward(head, chunk)
-            refusal = admitted.refusal
+            event_count, refusal = self._forward(relay, head, chunk)
             # The time in which the caller accepts no bytes is no silence of the engine.
             write_s = self._clock.monotonic() - received_at
-            if admitted.event_count:
+            if event_count:
                 if last_event_at is None:
                     self._record_first_event(
                         context, record, reply.connected_at, inputs, progress, trace
                     )
                 else:
-                    gap_s = (received_at - last_event_at) / admitted.event_count
+                    gap_s = (received_at - last_event_at) / event_count
                     gaps_s.append(gap_s)
                 last_event_at = received_at + write_s
                 trace.event_count = relay.event_count
@@ -462,6 +467,24 @@
         self._engine_paces.record_stream(record, gaps_s, slowdown)
         return AttemptResult(AttemptOutcome.ANSWERED, "", head)
 
+    def _forward(
+        self, relay: EventRelay, head: ResponseHead, block: bytes
+    ) -> tuple[int, str]:
+        """Forward the events of a block in parts, between which other tasks run.
+
+        Return the number of events, and why the rest does not belong to the stream.
+        """
+        event_count = 0
+        for start in range(0, len(block), _FORWARDED_BYTES):
+            if start:
+                self._turns.wait()
+            part = block[start : start + _FORWARDED_BYTES]
+            admitted = relay.forward(head, part)
+            event_count += admitted.event_count
+            if admitted.refusal:
+                return event_count, admitted.refusal
+        return event_count, ""
+
     def _record_first_event(
         self,
         context: RequestContext,
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -18,6 +18,7 @@
 from sapphirehoist.http1.connector import EndpointConnector, EndpointSocket, NotSent
 from sapphirehoist.http1.messages import Headers, RequestHead, ResponseHead
 from sapphirehoist.observability import Metrics
+from sapphirehoist.sockets import WorkTurns
 
 _RECEIVE_BYTES = 65_536
 # A request of this size fits into the kernel's buffers, so it is written before the
@@ -38,7 +39,12 @@
 # A faulty endpoint may send bytes without end. What is buffered or skipped is bounded,
 # and other tasks run between reads that never have to wait.
 _MAX_BUFFERED_BODY_BYTES = 16 * 2**20
-_RECEIVES_PER_YIELD = 16
+# Heads such as 100 and 103 before the response; endpoints send a few at most.
+_MAX_INFORMATIONAL_HEADS = 100
+# A block of 64 KB may hold thousands of chunks or heads, each of which is parsed.
+_EVENTS_PER_TURN = 32
+# Small chunks that have arrived together are returned as one block of this size.
+_MAX_JOINED_BYTES = 16_384
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +138,8 @@
         Connected socket.
     on_idle : callable
         Called with the connection when it can serve another request.
+    turns : WorkTurns
+        Turns of the connections that have much to parse.
 
     Attributes
     ----------
@@ -152,11 +160,13 @@
         "_is_reused",
         "_method",
         "_on_idle",
+        "_parsed",
         "_parser",
-        "_receive_count",
         "_request",
         "_send_task",
         "_sock",
+        "_turns",
+        "_work_count",
         "idle_limit_s",
         "idle_since",
         "is_closed",
@@ -168,15 +178,19 @@
         address: str,
         sock: EndpointSocket,
         on_idle: Callable[[EndpointConnection], None],
+        turns: WorkTurns,
     ) -> None:
         self._address = address
         self._sock = sock
         self._on_idle = on_idle
+        self._turns = turns
+        # What follows a block whose chunks were joined.
+        self._parsed: h11.Event | type[h11.PAUSED] | Exception | None = None
         self._parser = _new_parser()
         self._send_task: gevent.Greenlet | None = None
         self._has_mismatched_response = False
         self._is_reused = False
-        self._receive_count = 0
+        self._work_count = 0
         self.is_closed = False
         self.idle_since = 0.0
         self.opened_at = 0.0
@@ -218,9 +232,24 @@
             self.close()
             return TruncatedBody(f"{self._address}: {exc}")
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return self._join_chunks(event)
         return b""
 
+    def _join_chunks(self, event: h11.Data) -> bytes:
+        """Return a chunk with those behind it that have arrived."""
+        body = bytearray(event.data)
+        while len(body) < _MAX_JOINED_BYTES:
+            try:
+                following = self._parse_event()
+            except h11.RemoteProtocolError as exc:
+                self._parsed = exc
+                break
+            if not isinstance(following, h11.Data):
+                self._parsed = following
+                break
+            body += following.data
+        return bytes(body)
+
     def finish(self) -> None:
         """Make the connection reusable if the exchange is complete, else close it."""
         if self.is_closed:
@@ -232,6 +261,7 @@
         if (
             not (is_request_sent and is_exchange_done)
             or self._has_mismatched_response
+            or self._parsed is not None
             or self._parser.trailing_data[0]
         ):
             self.close()
@@ -268,7 +298,11 @@
     def _read_matching_head(self) -> EndpointResponse | Lost:
         for _ in range(_MAX_MISMATCHED_RESPONSES + 1):
             event = self._next_event()
+            informational_count = 0
             while isinstance(event, h11.InformationalResponse):
+                informational_count += 1
+                if informational_count > _MAX_INFORMATIONAL_HEADS:
+                    raise h11.RemoteProtocolError("informational heads without end")
                 event = self._next_event()
             if not isinstance(event, h11.Response):
                 self.close()
@@ -304,17 +338,27 @@
 
     def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
-            event = self._parser.next_event()
-            if isinstance(event, h11.Event):
-                _check_status(event)
+            event = self._parse_event()
+            if event is not None:
                 return event
-            if event is h11.PAUSED:
-                return h11.PAUSED
-            self._receive_count += 1
-            if self._receive_count % _RECEIVES_PER_YIELD == 0:
-                gevent.sleep(0)
             self._parser.receive_data(self._sock.recv(_RECEIVE_BYTES))
 
+    def _parse_event(self) -> h11.Event | type[h11.PAUSED] | None:
+        """Return the next event; None if it has not arrived as a whole."""
+        parsed, self._parsed = self._parsed, None
+        if isinstance(parsed, Exception):
+            raise parsed
+        if parsed is not None:
+            return parsed
+        self._work_count += 1
+        if self._work_count % _EVENTS_PER_TURN == 0:
+            self._turns.wait()
+        event = self._parser.next_event()
+        if isinstance(event, h11.Event):
+            _check_status(event)
+            return event
+        return h11.PAUSED if event is h11.PAUSED else None
+
     def _apply_keep_alive_timeout(self, head: ResponseHead) -> None:
         for part in head.headers.get("keep-alive").split(","):
             name, _, value = part.strip().partition("=")
@@ -339,7 +383,7 @@
         Counts ``endpoint_connections_total``.
     """
 
-    __slots__ = ("_clock", "_connector", "_idle", "_metrics", "_open")
+    __slots__ = ("_clock", "_connector", "_idle", "_metrics", "_open", "_turns")
 
     def __init__(
         self, connector: EndpointConnector, clock: Clock, metrics: Metrics
@@ -347,6 +391,7 @@
         self._connector = connector
         self._clock = clock
         self._metrics = metrics
+        self._turns = WorkTurns(clock)
         self._idle: dict[str, list[EndpointConnection]] = {}
         # May contain closed ones.
         self._open: dict[str, list[EndpointConnection]] = {}
@@ -466,7 +511,7 @@
         on_idle = self._idle_callback(address)
         if not self._connector.is_reusable(sock):
             on_idle = EndpointConnection.close
-        conn = EndpointConnection(address, sock, on_idle)
+        conn = EndpointConnection(address, sock, on_idle, self._turns)
         conn.opened_at = self._clock.monotonic()
         self._open.setdefault(address, []).append(conn)
         return conn
