Bound the bodies that clients on urllib3 read, in bytes and time

Found on the paths related to bytes without end: the daemon kept all that a faulty endpoint sent as a body, and so did the clients of the table, the objects, the VM list and the platform's store. Cause: urllib3 reads a body as a whole, with a timeout for each receive, which bytes that keep coming never meet; the line between two chunks has no limit; and no other task runs while bytes are there. Change: read_whole reads bodies in parts, 16 MB at most, within the time of the call (10 s for services of the platform); lines between chunks have 64 KB at most; streams of the daemon take turns, and end with their time while bytes keep coming.

--- a/libs/endpoints/sapphirehoist/endpoints/http.py
+++ b/libs/endpoints/sapphirehoist/endpoints/http.py
@@ -37,13 +37,16 @@
     WholeHeadPoolManager,
     WholeHeadTlsConnection,
     is_framed,
+    read_whole,
 )
+from sapphirehoist.sockets import WorkTurns
 
 _CONNECT_TIMEOUT_S = 1.0
 _CANCEL_TIMEOUT_S = 1.0
 _MAX_CONNECTIONS_PER_POOL = 64
 _MAX_POOLS = 1024
-_READ_SIZE_BYTES = 65_536
+# A larger block may hold thousands of events, each of which is parsed in one go.
+_READ_SIZE_BYTES = 8_192
 _MAX_DIGITS = 15
 _STATUS_OK = 200
 _BUSY_STATUSES = (429, 503)
@@ -84,10 +87,11 @@
         Measures the time that streams have left.
     """
 
-    __slots__ = ("_clock", "_pool_manager", "_stream_pool_manager")
+    __slots__ = ("_clock", "_pool_manager", "_stream_pool_manager", "_turns")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._turns = WorkTurns(clock)
         self._pool_manager = WholeHeadPoolManager(
             num_pools=_MAX_POOLS, maxsize=_MAX_CONNECTIONS_PER_POOL
         )
@@ -97,6 +101,7 @@
 
     def call(self, endpoint: Endpoint, call: StageCall) -> CallOutcome:
         """Call a stage and wait for the complete response."""
+        ends_at = self._clock.monotonic() + call.timeout_s
         resp = self._send_request(
             "POST",
             _stage_url(endpoint, call),
@@ -107,7 +112,8 @@
         if not isinstance(resp, urllib3.BaseHTTPResponse):
             return resp
         try:
-            body = resp.data
+            remaining_s = max(0.0, ends_at - self._clock.monotonic())
+            body = read_whole(resp, remaining_s).data
         except ReadTimeoutError as exc:
             return TimedOut(f"{endpoint.name}: {exc}")
         except HTTPError as exc:
@@ -176,10 +182,10 @@
         if not isinstance(resp, urllib3.BaseHTTPResponse):
             return resp
         if resp.status == _STATUS_OK:
-            return HttpStream(endpoint.name, resp, self._clock, timeout_s)
+            return HttpStream(endpoint.name, resp, self._clock, timeout_s, self._turns)
         report = _parse_report(resp)
         try:
-            body = resp.data
+            body = read_whole(resp, timeout_s).data
         except HTTPError as exc:
             return Lost(f"{endpoint.name}: {exc}")
         return _classify_error_status(endpoint, resp.status, body, report)
@@ -229,12 +235,15 @@
         Measures the time that the stream has left.
     timeout_s : float
         Longest time until the end of the stream, in seconds.
+    turns : WorkTurns
+        Turns of the streams that have much to parse.
     """
 
     __slots__ = (
         "_clock",
         "_deadline",
         "_endpoint_name",
+        "_turns",
         "report",
         "resp",
         "stream_id",
@@ -246,8 +255,10 @@
         resp: urllib3.BaseHTTPResponse,
         clock: Clock,
         timeout_s: float,
+        turns: WorkTurns,
     ) -> None:
         self._clock = clock
+        self._turns = turns
         self._deadline = clock.monotonic() + timeout_s
         self.resp = resp
         self.stream_id = resp.headers.get("X-Stream-Id", "")
@@ -280,11 +291,15 @@
         self.resp.close()
 
     def _read_block(self) -> bytes | StreamBroken:
+        # Without a pause a timeout does not expire while bytes keep coming.
+        self._turns.wait()
         remaining_s = self._deadline - self._clock.monotonic()
         timeout = gevent.Timeout(max(0.0, remaining_s))
         try:
             with timeout:
-                return self.resp.read1(_READ_SIZE_BYTES)
+                if remaining_s > 0:
+                    return self.resp.read1(_READ_SIZE_BYTES)
+                return StreamBroken(f"{self._endpoint_name}: no time left")
         except gevent.Timeout as exc:
             if exc is not timeout:
                 raise
--- a/libs/http1/sapphirehoist/http1/__init__.py
+++ b/libs/http1/sapphirehoist/http1/__init__.py
@@ -32,7 +32,9 @@
     WholeHeadConnection,
     WholeHeadPoolManager,
     WholeHeadTlsConnection,
+    WholeResponse,
     is_framed,
+    read_whole,
 )
 from sapphirehoist.http1.wsgi import WsgiHandler
 
@@ -59,7 +61,9 @@
     "WholeHeadConnection",
     "WholeHeadPoolManager",
     "WholeHeadTlsConnection",
+    "WholeResponse",
     "WsgiHandler",
     "is_framed",
+    "read_whole",
     "return_large_buffers",
 ]
--- a/libs/storage/sapphirehoist/storage/http.py
+++ b/libs/storage/sapphirehoist/storage/http.py
@@ -14,7 +14,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
-from sapphirehoist.http1 import WholeHeadPoolManager, is_framed
+from sapphirehoist.http1 import WholeHeadPoolManager, WholeResponse, read_whole
 from sapphirehoist.messages import MalformedMessage, decode_json, encode_json
 from sapphirehoist.storage.era import StoreEra
 from sapphirehoist.storage.interface import (
@@ -37,6 +37,8 @@
 _STATUS_NOT_FOUND = 404
 _STATUS_CONFLICT = 409
 _STATUS_UNAVAILABLE = 503
+# Far longer than the largest response takes to arrive.
+_BODY_TIMEOUT_S = 10.0
 # Rises by one each time that the service is restored from a copy.
 ERA_HEADER = "Store-Era"
 
@@ -67,20 +69,28 @@
 
     def send(
         self, method: str, path: str, body: bytes | None = None
-    ) -> Any | Unavailable | Undecided:
+    ) -> WholeResponse | Unavailable | Undecided:
         """Send a request and return the response.
 
         Returns
         -------
-        urllib3 response, Unavailable or Undecided
+        WholeResponse, Unavailable or Undecided
             `Unavailable` if the attempt to connect failed, other than by a timeout, or
             the status is 503; `Undecided` on any other failure without a response, or
             if the response is of an earlier era, so that its effect may be lost.
         """
         url = self._url + path
         try:
-            resp = self._pool.request(
-                method, url, body=body, timeout=self._timeout, redirect=False
+            resp = read_whole(
+                self._pool.request(
+                    method,
+                    url,
+                    body=body,
+                    timeout=self._timeout,
+                    redirect=False,
+                    preload_content=False,
+                ),
+                _BODY_TIMEOUT_S,
             )
         except NewConnectionError as exc:
             return Unavailable(f"{method} {path}: no connection: {exc}")
@@ -178,7 +188,7 @@
             return None
         if resp.status != _STATUS_OK:
             return Unavailable(f"get: status {resp.status}")
-        if not is_framed(resp):
+        if not resp.is_framed:
             return Unavailable("get: the end of the object is not known")
         return resp.data
 
