Ignore SIGHUP until its handler is installed

Cause: the handler was installed after all imports and after the node was built; until then the default action of the signal ends the process. The daemon had the same gap.

--- a/libs/daemon/sapphirehoist/daemon/main.py
+++ b/libs/daemon/sapphirehoist/daemon/main.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
-from gevent import config as gevent_config
-from gevent import monkey
+import signal
+
+if __name__ == "__main__":
+    # Its default action would end a process that starts. Nothing is missed: settings
+    # and certificates are read again once the handler is installed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from gevent import config as gevent_config  # noqa: E402
+from gevent import monkey  # noqa: E402
 
 gevent_config.loop = "libev-cext"
 monkey.patch_all()
@@ -11,7 +18,6 @@
 # monkey.patch_all() must run before imports of modules that use sockets.
 import argparse  # noqa: E402
 import logging  # noqa: E402
-import signal  # noqa: E402
 import sys  # noqa: E402
 
 import gevent  # noqa: E402
@@ -47,6 +53,8 @@
 
     SIGHUP reloads the TLS certificates.
     """
+    # The console script has not done so at the import.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     arguments = _build_parser().parse_args(argv)
     settings = load_settings(arguments.settings)
     if isinstance(settings, SettingsErrors):
@@ -64,6 +72,8 @@
     gevent.signal_handler(signal.SIGTERM, stop.set)
     gevent.signal_handler(signal.SIGINT, stop.set)
     gevent.signal_handler(signal.SIGHUP, _reload_certificates, servers)
+    for server in servers:
+        server.reload_certificate()
     node.start()
     for server in servers:
         server.start()
