--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -40,7 +40,7 @@
 from sapphirehoist.http1 import CallerRequest, Exchange
 from sapphirehoist.testing import ManagedProcess, wait_until
 
-OLD_COMMIT = "295d5a6"
+OLD_COMMIT = "b281c84"
 ROOT = Path(__file__).parents[1]
 OLD, NEW = "old", "new"
 EVENT_COUNT = 5
