Keep chunks that were joined when a timeout interrupts the read

Cause: small chunks are joined in the frame of read_block, which takes turns meanwhile; a timeout that ends the wait, as streams have them, lost the chunks that had been parsed. Change: the connection keeps them, and the next read goes on from there.

--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -158,6 +158,7 @@
         "_has_mismatched_response",
         "_is_matching",
         "_is_reused",
+        "_joined",
         "_method",
         "_on_idle",
         "_parsed",
@@ -186,6 +187,8 @@
         self._turns = turns
         # What follows a block whose chunks were joined.
         self._parsed: h11.Event | type[h11.PAUSED] | Exception | None = None
+        # Chunks that were parsed and not yet returned.
+        self._joined = bytearray()
         self._parser = _new_parser()
         self._send_task: gevent.Greenlet | None = None
         self._has_mismatched_response = False
@@ -227,18 +230,25 @@
     def read_block(self) -> bytes | TruncatedBody:
         """Return the next bytes of the body, or empty bytes at its end."""
         try:
-            event = self._next_event()
+            if not self._joined:
+                event = self._next_event()
+                if not isinstance(event, h11.Data):
+                    return b""
+                self._joined += event.data
         except (OSError, h11.RemoteProtocolError) as exc:
             self.close()
             return TruncatedBody(f"{self._address}: {exc}")
-        if isinstance(event, h11.Data):
-            return self._join_chunks(event)
-        return b""
-
-    def _join_chunks(self, event: h11.Data) -> bytes:
-        """Return a chunk with those behind it that have arrived."""
-        body = bytearray(event.data)
-        while len(body) < _MAX_JOINED_BYTES:
+        self._join_chunks()
+        block = bytes(self._joined)
+        self._joined.clear()
+        return block
+
+    def _join_chunks(self) -> None:
+        """Join a chunk with those behind it that have arrived.
+
+        A timeout of the caller may interrupt it; the next read goes on from there.
+        """
+        while len(self._joined) < _MAX_JOINED_BYTES:
             try:
                 following = self._parse_event()
             except h11.RemoteProtocolError as exc:
@@ -247,8 +257,7 @@
             if not isinstance(following, h11.Data):
                 self._parsed = following
                 break
-            body += following.data
-        return bytes(body)
+            self._joined += following.data
 
     def finish(self) -> None:
         """Make the connection reusable if the exchange is complete, else close it."""
@@ -262,6 +271,7 @@
             not (is_request_sent and is_exchange_done)
             or self._has_mismatched_response
             or self._parsed is not None
+            or self._joined
             or self._parser.trailing_data[0]
         ):
             self.close()
--- a/libs/http1/sapphirehoist/http1/tests/test_client.py
+++ b/libs/http1/sapphirehoist/http1/tests/test_client.py
@@ -213,3 +213,42 @@
         )
         assert isinstance(refused, NotSent)
         assert endpoint.connection_count <= 2
+
+
+class TestChunksThatArriveTogether:
+    def test_read_that_times_out_loses_nothing(
+        self, connections: EndpointConnectionPool, endpoint: ScriptedEndpoint
+    ) -> None:
+        """Guards against chunks that are lost if a timeout interrupts their joining."""
+        body = b"".join(b"%d," % number for number in range(3_000))
+        chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+        head = b"HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n"
+        endpoint.responses = [head + chunks + b"0\r\n\r\n"]
+        response = call(connections, endpoint)
+        assert isinstance(response, EndpointResponse)
+        # Turns are taken beside a task that has much to do.
+        busy = gevent.spawn(work_without_end)
+        received, timeout_count = b"", 0
+        while True:
+            try:
+                with gevent.Timeout(0.001):
+                    block = response.read_block()
+            except gevent.Timeout:
+                timeout_count += 1
+                continue
+            assert isinstance(block, bytes)
+            if not block:
+                break
+            received += block
+        busy.kill()
+        assert timeout_count
+        assert received == body
+
+
+def work_without_end() -> None:
+    clock = SystemClock()
+    while True:
+        started_at = clock.monotonic()
+        while clock.monotonic() < started_at + 0.002:
+            pass
+        gevent.sleep(0)
--- a/tests/test_ordered_streams.py
+++ b/tests/test_ordered_streams.py
@@ -87,3 +87,9 @@
     """Guards against events that come twice and answers that continue nothing."""
     completed = run_soak("--seeds=1", "--faults=all")
     assert completed.returncode == 0, completed.stdout + completed.stderr[-4_000:]
+
+
+def test_no_event_is_lost_where_reads_time_out() -> None:
+    """Found chunks that were lost if a timeout interrupted their joining."""
+    completed = run_soak("--seeds=5314", "--faults=all")
+    assert completed.returncode == 0, completed.stdout + completed.stderr[-4_000:]
