Take turns by the work of a block, not by its size, and forward it as a whole

Cause: a turn costs the others a pause. Streams took one after 2 KB, though a block may be a single event, wrote each 2 KB apart, and connections took turns by the count of events over all receives.

--- a/libs/gateway/sapphirehoist/gateway/attempt.py
+++ b/libs/gateway/sapphirehoist/gateway/attempt.py
@@ -16,7 +16,6 @@
 from sapphirehoist.gateway.crash_quarantine_sync import CrashQuarantineSync
 from sapphirehoist.gateway.endpoint_chooser import EndpointChooser
 from sapphirehoist.gateway.engine_pace_sync import EnginePaceSync
-from sapphirehoist.gateway.relay import EventRelay
 from sapphirehoist.gateway.request_context import (
     RequestContext,
     RequestProgress,
@@ -55,8 +54,8 @@
 # Interval at which an attempt that is past its limit, and was kept for lack of another
 # endpoint, is checked again.
 _RECHECK_INTERVAL_S = 0.25
-# A block of 64 KB may hold thousands of events, each of which is parsed.
-_FORWARDED_BYTES = 2_048
+# Other tasks run after this long. A block of 64 KB may hold thousands of events.
+_MAX_WORK_S = 0.002
 # A read that takes longer than this has found no bytes that had arrived before.
 _MIN_WAIT_S = 0.005
 
@@ -442,7 +441,8 @@
             if not chunk:
                 refusal = relay.end_answer(head)
                 break
-            event_count, refusal = self._forward(relay, head, chunk)
+            admitted = relay.forward(head, chunk, self._turns_after(received_at))
+            event_count, refusal = admitted.event_count, admitted.refusal
             # The time in which the caller accepts no bytes is no silence of the engine.
             write_s = self._clock.monotonic() - received_at
             if event_count:
@@ -467,23 +467,16 @@
         self._engine_paces.record_stream(record, gaps_s, slowdown)
         return AttemptResult(AttemptOutcome.ANSWERED, "", head)
 
-    def _forward(
-        self, relay: EventRelay, head: ResponseHead, block: bytes
-    ) -> tuple[int, str]:
-        """Forward the events of a block in parts, between which other tasks run.
+    def _turns_after(self, started_at: float) -> Callable[[], None]:
+        """Return what takes a turn once work that began at `started_at` takes long."""
 
-        Return the number of events, and why the rest does not belong to the stream.
-        """
-        event_count = 0
-        for start in range(0, len(block), _FORWARDED_BYTES):
-            if start:
+        def take_turn() -> None:
+            nonlocal started_at
+            if self._clock.monotonic() - started_at >= _MAX_WORK_S:
                 self._turns.wait()
-            part = block[start : start + _FORWARDED_BYTES]
-            admitted = relay.forward(head, part)
-            event_count += admitted.event_count
-            if admitted.refusal:
-                return event_count, admitted.refusal
-        return event_count, ""
+                started_at = self._clock.monotonic()
+
+        return take_turn
 
     def _record_first_event(
         self,
--- a/libs/gateway/sapphirehoist/gateway/relay.py
+++ b/libs/gateway/sapphirehoist/gateway/relay.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from sapphirehoist.decisions import AdmittedEvents, StreamContinuity
 from sapphirehoist.http1 import Exchange, ResponseHead
 
+# A block of 64 KB may hold thousands of events, each of which is parsed.
+_PART_BYTES = 2_048
+
 
 class EventRelay:
     """Forwards the events of one stream to its caller.
@@ -68,7 +73,9 @@
         """
         return self._continuity.begin_answer(head.headers.get("content-type"))
 
-    def forward(self, head: ResponseHead, chunk: bytes) -> AdmittedEvents:
+    def forward(
+        self, head: ResponseHead, chunk: bytes, take_turn: Callable[[], None]
+    ) -> AdmittedEvents:
         """Forward the events that `chunk` completes, if they continue the stream.
 
         Comments are forwarded too, but are not counted as events.
@@ -79,11 +86,23 @@
             Head of the response; sent with the first event.
         chunk : bytes
             Bytes of the stream from an endpoint.
+        take_turn : callable
+            Lets other tasks run; called between parts of a chunk.
         """
         self._received_bytes += len(chunk)
-        admitted = self._continuity.admit(chunk)
-        self._send(head, admitted.data)
-        return admitted
+        data, event_count, refusal = bytearray(), 0, ""
+        for start in range(0, len(chunk), _PART_BYTES):
+            if start:
+                take_turn()
+            part = self._continuity.admit(chunk[start : start + _PART_BYTES])
+            data += part.data
+            event_count += part.event_count
+            refusal = part.refusal
+            if refusal:
+                break
+        # The caller gets as many blocks as the endpoint has sent.
+        self._send(head, bytes(data))
+        return AdmittedEvents(bytes(data), event_count, refusal)
 
     def end_answer(self, head: ResponseHead) -> str:
         """Forward the rest of an answer; return why it is not whole, if it is not."""
--- a/libs/http1/sapphirehoist/http1/client.py
+++ b/libs/http1/sapphirehoist/http1/client.py
@@ -43,6 +43,7 @@
 _MAX_INFORMATIONAL_HEADS = 100
 # A block of 64 KB may hold thousands of chunks or heads, each of which is parsed.
 _EVENTS_PER_TURN = 32
+_RECEIVES_PER_YIELD = 16
 # Small chunks that have arrived together are returned as one block of this size.
 _MAX_JOINED_BYTES = 16_384
 
@@ -155,6 +156,7 @@
 
     __slots__ = (
         "_address",
+        "_event_count",
         "_has_mismatched_response",
         "_is_matching",
         "_is_reused",
@@ -163,11 +165,11 @@
         "_on_idle",
         "_parsed",
         "_parser",
+        "_receive_count",
         "_request",
         "_send_task",
         "_sock",
         "_turns",
-        "_work_count",
         "idle_limit_s",
         "idle_since",
         "is_closed",
@@ -193,7 +195,9 @@
         self._send_task: gevent.Greenlet | None = None
         self._has_mismatched_response = False
         self._is_reused = False
-        self._work_count = 0
+        self._receive_count = 0
+        # Since the last receive.
+        self._event_count = 0
         self.is_closed = False
         self.idle_since = 0.0
         self.opened_at = 0.0
@@ -351,6 +355,10 @@
             event = self._parse_event()
             if event is not None:
                 return event
+            self._event_count = 0
+            self._receive_count += 1
+            if self._receive_count % _RECEIVES_PER_YIELD == 0:
+                gevent.sleep(0)
             self._parser.receive_data(self._sock.recv(_RECEIVE_BYTES))
 
     def _parse_event(self) -> h11.Event | type[h11.PAUSED] | None:
@@ -360,8 +368,8 @@
             raise parsed
         if parsed is not None:
             return parsed
-        self._work_count += 1
-        if self._work_count % _EVENTS_PER_TURN == 0:
+        self._event_count += 1
+        if self._event_count % _EVENTS_PER_TURN == 0:
             self._turns.wait()
         event = self._parser.next_event()
         if isinstance(event, h11.Event):
