--- a/review/rig3.py
+++ b/review/rig3.py
@@ -446,6 +446,8 @@
     """The machines of a case, their store, and a temporary folder."""
 
     def __init__(self, folder: Path) -> None:
+        # A script that is ended still ends its processes.
+        signal.signal(signal.SIGTERM, _interrupt)
         self.record = Record(folder)
         self.store = Store(self.record)
         self.machines: list[Machine] = []
@@ -613,6 +615,12 @@
             self._stream = None
 
 
+def _interrupt(number: int, frame: object) -> None:
+    """End the script once; ``timeout`` may send the signal twice."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise KeyboardInterrupt
+
+
 def has_trouble() -> bool:
     """Return whether the disruption is to be played."""
     return os.environ.get("TROUBLE", "1") != "0"
